End a dial when its server drains, leaves or restarts, or its client goes

At fault: Pool._dial started its attempt whatever had become of the server meanwhile; Limiter.servers_changed told the pool nothing of draining servers; Limiter.client_gone left dials going, so a request went on up to a dial's time-out after its client had left. Pool.dialling was taken down in a `finally` that does not run where a task is cancelled before its first step, so it could only ever rise: now the task's end does it.

Ruled out: a cancelled dial leaks no socket, uvloop closes it on cancellation also after it came up; an attempt that ends twice: `ended` is taken once.

--- a/dahliatack/net/limiter.py
+++ b/dahliatack/net/limiter.py
@@ -103,6 +103,8 @@
 
     def client_gone(self, exchange: Exchange) -> None:
         exchange.client = None
+        for attempt in exchange.out:
+            self.pool.give_up_unsent(attempt, Outcome.CANCELLED)
         if not exchange.over:
             exchange.over = True
             if exchange.event.id in self.exchanges:  # else the module has not seen it yet
@@ -121,6 +123,7 @@
                 self.active.add(info.id)
             else:
                 self.active.discard(info.id)
+                self.pool.drain(info.id)
         if full:
             self.active &= named
             for key in [key for key in self.pool.servers if key not in named]:
--- a/dahliatack/net/servers.py
+++ b/dahliatack/net/servers.py
@@ -94,11 +94,12 @@
 
 
 class Server:
-    __slots__ = ("address", "heard", "idle", "retired", "started")
+    __slots__ = ("address", "dials", "heard", "idle", "retired", "started")
 
     def __init__(self, address: Address, started: float) -> None:
         self.address, self.started = address, started
         self.idle: list[ServerConnection] = []  # the most recently used last
+        self.dials: set[Attempt] = set()  # attempts whose connection is being opened
         self.heard = 0.0  # when it last sent anything
         self.retired = False  # off the list, or another process by now
 
@@ -222,10 +223,17 @@
             self.remove(key)
             self.servers[key] = Server(address, started)
 
+    def drain(self, key: bytes) -> None:
+        """Nothing new goes there: what waits for a connection is not sent when that comes up."""
+        if (server := self.servers.get(key)) is not None:
+            self._close_idle(server)
+            for attempt in list(server.dials):
+                self.give_up_unsent(attempt, Outcome.CONNECT_FAILED)
+
     def remove(self, key: bytes) -> None:
+        self.drain(key)
         if (server := self.servers.pop(key, None)) is not None:
             server.retired = True
-            self._close_idle(server)
 
     def close(self) -> None:
         for connection in list(self.idle):
@@ -265,12 +273,15 @@
                 self.loop.call_soon(attempt.end, Outcome.CONNECT_FAILED)
                 return
             self._close(next(iter(self.idle)))
+        attempt.task = task = self.loop.create_task(self._dial(server, attempt))
+        server.dials.add(attempt)
         self.dialling += 1
-        attempt.task = self.loop.create_task(self._dial(server, attempt))
+        # Also where the task is cancelled before its first step, and none of it runs.
+        task.add_done_callback(lambda _: self._dialled(server, attempt))
 
     def give_up(self, attempt: Attempt, outcome: Outcome = Outcome.TIMEOUT) -> None:
         """Stop waiting. The connection is closed: a later answer on it would belong to no request."""
-        connection, task = attempt.connection, attempt.task
+        connection = attempt.connection
         if not attempt.written:
             outcome = Outcome.CONNECT_FAILED  # never there as a whole, so it cannot run
         if connection is not None:
@@ -280,10 +291,23 @@
             if attempt.written and connection.server.heard < attempt.started:
                 # Not a word since: a machine that vanished keeps its other connections open and silent too.
                 self._close_idle(connection.server)
-        elif task is not None:
-            task.cancel()
+        elif attempt.task is not None:
+            attempt.task.cancel()
         attempt.end(outcome)
 
+    def give_up_unsent(self, attempt: Attempt, outcome: Outcome) -> None:
+        """End it if it waits for its connection: what has begun to leave may run, and is not touched."""
+        if attempt.task is not None:
+            attempt.task.cancel()  # from here on nothing of it is written
+            # Told in a turn of its own: whoever calls this is not done yet with what made it end the dial.
+            self.loop.call_soon(attempt.end, outcome)
+
+    def _dialled(self, server: Server, attempt: Attempt) -> None:
+        """The dial is over, whatever became of it."""
+        self.dialling -= 1
+        server.dials.discard(attempt)
+        attempt.task = None
+
     async def _dial(self, server: Server, attempt: Attempt) -> None:
         connection: ServerConnection | None = None
         try:
@@ -295,14 +319,12 @@
         except (OSError, TimeoutError) as error:
             if error.errno not in OURS:
                 self._close_idle(server)
-        finally:
-            self.dialling -= 1
-            attempt.task = None
         if connection is None or connection.transport is None or attempt.ended is None:
             if connection is not None:
                 connection.drop()
             attempt.end(Outcome.CONNECT_FAILED)
             return
+        attempt.task = None  # from here on it is the connection's
         self.connections.add(connection)
         connection.start(attempt)
 
--- a/tests/test_net_life.py
+++ b/tests/test_net_life.py
@@ -40,7 +40,7 @@
 
 def test_nested_settings_read_like_the_simulators_lines() -> None:
     lines = list(flatten(settings()))
-    assert "classes.count=2" in lines
+    assert "classes.count=3" in lines
     assert "classes.1.effect=by_key" in lines
     assert "extra.mayCount=false" in lines
     assert "localities=a,b" in lines
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,6 +12,7 @@
 import re
 import resource
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -58,6 +59,7 @@
         "classes": [
             {**cls, "name": "read", "effect": "repeatable"},
             {**cls, "name": "submit", "effect": "by_key", "group": "zone"},
+            {**cls, "name": "order", "effect": "once"},
         ],
         "contracts": [{"name": "free", "quotaRate": 0.0, "peakUnits": 0.0, "valueFactor": 1.0}],
         "extra": {"mayCount": False, "countLimit": 50.0, "maxUnits": 1},
@@ -168,6 +170,32 @@
         return {**made, **changes}
 
 
+class LateServer(FakeServer):
+    """A server to which connections stay silent until its gate opens: its backlog is full until then."""
+
+    async def listen(self) -> None:
+        self.connections = self.closed = 0
+        self.listening = socket.socket()
+        self.listening.bind(("127.0.0.1", 0))
+        self.listening.listen(0)
+        self.port = self.listening.getsockname()[1]
+        self.filler = socket.socket()
+        self.filler.connect(("127.0.0.1", self.port))
+
+    def dialled(self) -> int:
+        """Connections to here that have not come up, by the kernel's table."""
+        at = f"0100007F:{self.port:04X}"
+        lines = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+        return sum(fields[2] == at and fields[3] == "02" for fields in lines)
+
+    async def open(self) -> None:
+        self.listening.setblocking(False)
+        self.listening.listen(16)
+        self.server = await asyncio.start_server(self._connected, sock=self.listening)
+        self.filler.close()
+        await until(lambda: not self.dialled(), "every dial has come up or is over")
+
+
 class FakeDiscovery(Peer):
     def __init__(self) -> None:
         self.version, self.whole = 1, True
@@ -294,9 +322,10 @@
 
 
 class World:
-    def __init__(self, folder: Path, servers: int) -> None:
+    def __init__(self, folder: Path, servers: int, late: int = 0) -> None:
         self.folder = folder
-        self.servers = [FakeServer(f"s-{n}") for n in range(servers)]
+        self.late = [LateServer(f"late-{n}") for n in range(late)]
+        self.servers: list[FakeServer] = [*self.late, *(FakeServer(f"s-{n}") for n in range(servers))]
         self.discovery, self.counter = FakeDiscovery(), FakeCounter()
         self.process: asyncio.subprocess.Process
         self.config: dict[str, Any] = {}
@@ -398,9 +427,10 @@
     entries: list[dict[str, Any]] | None = None,
     discovery_up: bool = True,
     more: dict[str, Any] | None = None,
+    late: int = 0,
 ) -> AsyncIterator[World]:
     with tempfile.TemporaryDirectory() as folder:
-        there = World(Path(folder), servers)
+        there = World(Path(folder), servers, late)
         there.discovery.entries, there.discovery.up = entries or [], discovery_up
         await there.start(made or settings(), sockets, wait_ready, more)
         try:
