Listen only once discovery has told what changed while the process did not run

Ruled out: limiters that lived on heard every list within 0.4 s (a line for each list in a probe), and none of them sent to a server off its list.

At fault: __main__.run, which made the listener before it asked discovery. /_health said "not ready", but clients that had not noticed the death came all the same. Now there is nothing to connect to until discovery has answered, or has been silent for KNOWN_ONLY. The test holds the agent's answer back; without the mend the port is open.

--- a/dahliatack/__main__.py
+++ b/dahliatack/__main__.py
@@ -22,7 +22,7 @@
 STILL_ACCEPT = 0.5  # s after SIGTERM in which connections still come
 END_BY = 3.2  # s after SIGTERM: what is held then is ended, since the kill follows
 FLUSH = 0.2  # s for the last answers to leave
-KNOWN_ONLY = 1.0  # s after which the list from the configuration has to do
+KNOWN_ONLY = 1.0  # s to wait for discovery at start; after that the list from the configuration has to do
 
 log = logging.getLogger("dahliatack")
 
@@ -40,12 +40,6 @@
         limiter.servers_changed,
     )
     discovery.known(config.known)
-    began = loop.time()
-
-    def ready() -> bool:
-        return limiter.ready and (discovery.heard.is_set() or loop.time() - began > KNOWN_ONLY)
-
-    listener = Listener(loop, config, limiter, clock, ready)
     stop = asyncio.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
@@ -53,6 +47,9 @@
     discovery.start()
     gc.collect()
     gc.freeze()  # what lives as long as the process need not be looked at again
+    # What changed while this process did not run counts as told: nothing is taken before that is heard.
+    await first_of(KNOWN_ONLY, discovery.heard, stop)
+    listener = Listener(loop, config, limiter, clock)
     log.info("%s listens on %s:%d", config.name, *listener.socket.getsockname()[:2])
     await stop.wait()
     await drain(loop, listener, limiter)
@@ -60,6 +57,14 @@
     limiter.close()
 
 
+async def first_of(seconds: float, *events: asyncio.Event) -> None:
+    """Until one of them is set, or the time is up."""
+    waits = [asyncio.ensure_future(event.wait()) for event in events]
+    await asyncio.wait(waits, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
 def move(discovery: Discovery, limiter: Limiter) -> None:
     """Go to the discovery and the counter that the configuration file names now."""
     try:
--- a/dahliatack/net/listener.py
+++ b/dahliatack/net/listener.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 import time
-from collections.abc import Callable
 
 from .clients import Canned, ClientConnection
 from .clock import Clock
@@ -34,9 +33,8 @@
         config: Config,
         limiter: Limiter,
         clock: Clock,
-        ready: Callable[[], bool],
     ) -> None:
-        self.loop, self.limiter, self.clock, self.ready = loop, limiter, clock, ready
+        self.loop, self.limiter, self.clock = loop, limiter, clock
         self.rules = Rules(config)
         self.most = config.share_of_sockets(0.55)
         self.connections: set[ClientConnection] = set()
@@ -172,7 +170,7 @@
         target = connection.target
         path = target.partition(b"?")[0]
         if path == b"/_health":
-            up = self.ready() and not self.draining
+            up = self.limiter.ready and not self.draining
             return Canned(200, b"ready\n") if up else Canned(503, b"not ready\n")
         body = b"".join(connection.body)
         event = self.rules.event(
--- a/tests/test_net_crossings.py
+++ b/tests/test_net_crossings.py
@@ -2,11 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
+import os
+import signal
+import socket
 from typing import Any
 
 import pytest
 
-from .world import Connection, World, play, request, settings, until
+from dahliatack import __main__
+from dahliatack.net.config import parse
+
+from .world import (
+    LONG,
+    Connection,
+    FakeDiscovery,
+    FakeServer,
+    Response,
+    World,
+    play,
+    request,
+    settings,
+    until,
+)
 
 PATIENT = settings(limits={"maxAttempts": 4, "dialTimeout": 90_000.0, "keepalive": 30_000.0})
 
@@ -59,3 +77,50 @@
         assert [seen.headers["x-request-id"] for seen in w.late[0].seen] == ["2"]
 
     play(story, made=PATIENT, late=1)
+
+
+# A start, while what discovery told in the meantime is still on its way
+
+
+def test_nothing_is_taken_before_discovery_has_told_what_changed_since_the_known_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(__main__, "KNOWN_ONLY", 10 * LONG)
+
+    async def main() -> None:
+        one, two, discovery = FakeServer("s-0"), FakeServer("s-1"), FakeDiscovery()
+        for peer in (one, two, discovery):
+            await peer.listen()
+        known = {"generation": 1, "reset": True, "instances": [one.entry(), two.entry()]}
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        discovery.up = False  # it is asked, and holds its answer back
+        discovery.tell(one.entry("leaving"), two.entry(), whole=True)
+        made = {"listen": f"127.0.0.1:{port}", "discovery": discovery.address, "seed": "1", "known": known}
+        limiter = asyncio.create_task(__main__.run(parse({**made, "settings": settings()})))
+        await until(lambda: discovery.targets, "discovery is asked")
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", port)
+        discovery.up = True
+        await until(lambda: discovery.answered, "discovery has told")
+        for n in range(6):
+            assert (await answer(port, request("order", rid=str(n)))).body == b"from s-1"
+        assert one.seen == []
+        os.kill(os.getpid(), signal.SIGTERM)
+        await limiter
+
+    async def answer(port: int, data: bytes) -> Response:
+        while True:
+            try:
+                client = Connection(*await asyncio.open_connection("127.0.0.1", port))
+                break
+            except ConnectionRefusedError:  # it has not read the answer yet
+                await asyncio.sleep(0.01)
+        client.send(data)
+        try:
+            return await client.response()
+        finally:
+            client.close()
+
+    asyncio.run(main())
