Notice a silent discovery at once where lists are pushed, and ask for news without a wait

Asked of the code: after an outage what the agent gets at its return counts as told at once. A watch waited 4 s, at 200 limiters 20 s, and 2 s of patience beyond, so a limiter could go on by the old list for up to 22 s; each further try waited as long again, since `heard` stays set. Where lists have to be asked for, 2 s beyond the wait is the very moment at which what was missed counts as told.

At fault: Discovery._watch, which waited in full also on the first call after a failure, and PATIENCE.

Now the first call after a failure asks for what is known already; patience is 1.5 s, and where an agent on this machine pushes, 0.15 s with a watch of 1 s, which costs nothing there. A start asks a pushing agent for the whole list: versions are each teller's own, and the known list may come from another one.

--- a/dahliatack/__main__.py
+++ b/dahliatack/__main__.py
@@ -15,7 +15,7 @@
 
 from .net.clock import Clock
 from .net.config import Config, ConfigError, load, reload
-from .net.discovery import Discovery, Names
+from .net.discovery import Discovery, Names, Pace
 from .net.limiter import Limiter
 from .net.listener import Listener
 
@@ -36,7 +36,7 @@
         config.discovery,
         Names(config.zone_names, config.kind_names),
         config.dial_timeout,
-        config.settings.gateways,
+        Pace.of(config.settings.gateways, pushed=not config.settings.must_subscribe),
         limiter.servers_changed,
     )
     discovery.known(config.known)
--- a/dahliatack/net/discovery.py
+++ b/dahliatack/net/discovery.py
@@ -9,6 +9,7 @@
 import math
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from ..interface import Server, ServerState
@@ -21,7 +22,11 @@
 CALLS = 4.0  # a second, of all limiters while there is no news: discovery's capacity is one for all
 RETRIES = 8.0  # a second, of all limiters while it is busy: more only keep it from answering any
 LONGEST_WAIT = 20000  # ms, in a fleet of any size: a dead agent must be noticed in the end
-PATIENCE = 2.0  # s beyond that before the call counts as failed
+PATIENCE = 1.5  # s beyond that before the call counts as failed: after 2 s its news count as told
+# Where lists are pushed, an agent on this machine answers at once and at no cost, and what it has counts as
+# told: after a silence that must be heard well within the least time in which sends have to stop (250 ms).
+PUSHED_WAIT = 1000  # ms
+PUSHED_PATIENCE = 0.15  # s
 BACKOFF = (0.05, 1.0)  # s, first and longest wait before connecting again
 ROOM = 8 * 2**20  # longest list taken
 STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
@@ -112,6 +117,25 @@
         return await self.answer
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How often discovery is called, and how soon it is held to be silent."""
+
+    wait: int  # ms that a watch waits for news
+    patience: float  # s beyond that before a call counts as failed
+    longest: float  # s between two calls that failed, at most
+    spread: float  # s between two calls that were turned away
+    free: bool  # a whole list costs no more than its changes
+
+    @classmethod
+    def of(cls, limiters: int, pushed: bool) -> Pace:
+        spread = limiters / RETRIES
+        if pushed:
+            return cls(PUSHED_WAIT, PUSHED_PATIENCE, BACKOFF[0], spread, free=True)
+        wait = min(LONGEST_WAIT, max(WAIT, round(1000 * limiters / CALLS)))
+        return cls(wait, PATIENCE, BACKOFF[1], spread, free=False)
+
+
 class Discovery:
     def __init__(
         self,
@@ -119,15 +143,15 @@
         where: Address,
         names: Names,
         dial_timeout: float,
-        limiters: int,
+        pace: Pace,
         changed: Changed,
     ) -> None:
-        self.spread = limiters / RETRIES  # s
-        self.wait = min(LONGEST_WAIT, max(WAIT, round(1000 * limiters / CALLS)))
+        self.pace = pace
         self.loop, self.where, self.names, self.changed = loop, where, names, changed
         self.host = f"{where[0]}:{where[1]}"
-        self.dial_timeout = dial_timeout / 1000
+        self.dial_timeout = min(dial_timeout / 1000, pace.patience)
         self.version: int | None = None  # of the list that changes apply to; None: the whole list is wanted
+        self.current = False  # the last call was answered: the next may wait for news
         self.heard = asyncio.Event()
         self.delay = BACKOFF[0]
         self.task: asyncio.Task[None] | None = None
@@ -135,14 +159,16 @@
     def known(self, document: Any) -> None:
         """The list as this limiter last had it: maybe old, so what changed since is asked for at once.
 
-        The whole list anew costs discovery a line for each server, for each limiter of a herd that starts.
+        The whole list anew costs discovery a line for each server, for each of a herd that starts. But
+        versions are each teller's own: where the whole costs nothing, it is asked for.
         """
         if document is None:
             return
         try:
-            self.version, _, entries = members(document, self.names)
+            version, _, entries = members(document, self.names)
         except ValueError as error:
             raise ConfigError(f"known: {error}") from None
+        self.version = None if self.pace.free else version
         self.changed(entries, True)
 
     def start(self) -> None:
@@ -154,6 +180,7 @@
             return
         self.where, self.host, self.delay = where, f"{where[0]}:{where[1]}", BACKOFF[0]
         self.version = None  # versions are each teller's own: changes since ours would leave some out there
+        self.current = False
         self.close()
         self.start()
 
@@ -181,23 +208,24 @@
             finally:
                 if connection is not None:
                     connection.drop()
+            self.current = False
             await asyncio.sleep(self._pause(busy))
-            self.delay = min(BACKOFF[1], 2 * self.delay)
+            self.delay = min(self.pace.longest, 2 * self.delay)
 
     def _pause(self, busy: bool) -> float:
         """Before the next call. Those turned away together must not come back together, nor all soon."""
         pause = self.delay * random.uniform(0.8, 1.2)
-        return max(pause, self.spread * random.uniform(0.2, 1.8)) if busy else pause
+        return max(pause, self.pace.spread * random.uniform(0.2, 1.8)) if busy else pause
 
     async def _watch(self, connection: _Connection) -> bool:
         """One call; whether the next may follow on the same connection."""
-        target, wait = "/catalog/members", PATIENCE
+        target, wait = "/catalog/members", 0
         since = self.version
         if since is not None:
-            ms = self.wait if self.heard.is_set() else 1  # at first what is known already, without a wait
-            target, wait = f"{target}?since={since}&timeout_ms={ms}", ms / 1000 + PATIENCE
+            wait = self.pace.wait if self.current else 1  # at first what is known already, without a wait
+            target = f"{target}?since={since}&timeout_ms={wait}"
         # A machine cut off leaves the connection open and silent: without this the list would stay as it is.
-        async with asyncio.timeout(wait):
+        async with asyncio.timeout(wait / 1000 + self.pace.patience):
             status, body, keep = await connection.get(target, self.host)
         if status >= 500:  # too much asked of it, say: what was told before still stands
             raise Busy(f"status {status}")
@@ -207,7 +235,7 @@
         if since is not None and version < since and not full:  # not the count that the list came with
             raise ValueError(f"generation {version} after {since}")
         first, self.version = since is None, version
-        self.delay = BACKOFF[0]
+        self.delay, self.current = BACKOFF[0], True
         if entries or full:
             self.changed(entries, full or first)
         if not self.heard.is_set():
--- a/tests/world.py
+++ b/tests/world.py
@@ -350,17 +350,31 @@
             "settings": made,
             **(more or {}),
         }
+        await self.begin(sockets)
+        if wait_ready:
+            await self.ready()
+
+    async def again(self, **changes: Any) -> None:
+        """A restart, with a configuration that may differ."""
+        self.config |= changes
+        self.reading.cancel()
+        await self.begin(1024)
+        await self.ready()
+
+    async def begin(self, sockets: int) -> None:
+        self.port = 0
         # As in service, the environment names the first discovery too.
         self.process = await launch(
             self.folder, self.config, sockets, RELAY_DISCOVERY=self.discovery.address
         )
         self.reading = asyncio.create_task(self._read_log())
         await until(lambda: self.port or self.process.returncode is not None, "listening")
-        if wait_ready:
-            end = time.monotonic() + LONG
-            while (await self.ask(b"GET /_health HTTP/1.1\r\n\r\n")).status != 200:
-                assert time.monotonic() < end, "never ready"
-                await asyncio.sleep(0.01)
+
+    async def ready(self) -> None:
+        end = time.monotonic() + LONG
+        while (await self.ask(b"GET /_health HTTP/1.1\r\n\r\n")).status != 200:
+            assert time.monotonic() < end, "never ready"
+            await asyncio.sleep(0.01)
 
     async def _read_log(self) -> None:
         assert self.process.stderr is not None
