Use no server connection on which an end or a second answer waits unread

Asked of the code: an idle connection is closed by its server, or a second answer comes, and in the same turn of the loop a request takes it. Pool.send looked at what the loop had read; what waited in the kernel it could not know. The request was then written to a dead connection, a reset that may have run, or got the second answer as its own, which breaks the rule on lost requests. SETTLE covers a second answer that comes within 10 ms, and only if the loop reads it by then.

At fault: Pool.send. The tests have the bytes, or the end, in the kernel and send in the same turn; both fail without the mend.

--- a/dahliatack/net/servers.py
+++ b/dahliatack/net/servers.py
@@ -12,6 +12,7 @@
 from ..interface import Outcome
 from .config import Address
 from .responses import ResponseProtocol
+from .unread import unread
 
 BODY = 65536  # longest body of an answer
 STALLED = 0.15  # s for the rest of an answer that has begun: servers send it in one go, or it is spoilt
@@ -122,6 +123,11 @@
         # No buffer: a write goes to the kernel at once, or resume_writing tells when its last byte did.
         self.transport.set_write_buffer_limits(0)
 
+    @property
+    def clear(self) -> bool:
+        """Whether it can take a request: open, and no end or second answer waits to be read."""
+        return self.transport is not None and not self.transport.is_closing() and not unread(self.transport)
+
     def start(self, attempt: Attempt) -> None:
         transport = self.transport
         assert transport is not None
@@ -260,12 +266,10 @@
             if connection.idle_since > now - SETTLE:
                 continue
             age = now - connection.idle_since
-            if age > self.idle_limit or connection.transport is None or not self.ages.fit(age):
+            if not connection.clear or age > self.idle_limit or not self.ages.fit(age):
                 self._close(connection)
                 continue
             self._take(connection)
-            if connection.transport.is_closing():
-                continue  # broken already; connection_lost is on its way
             connection.start(attempt)
             return
         if len(self.connections) + self.dialling >= self.most:
--- a/tests/test_net_crossings.py
+++ b/tests/test_net_crossings.py
@@ -6,12 +6,20 @@
 import os
 import signal
 import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 import pytest
 
 from dahliatack import __main__
+from dahliatack import interface as api
+from dahliatack.net import servers
+from dahliatack.net.clock import Clock
 from dahliatack.net.config import parse
+from dahliatack.net.limiter import Limiter
+from dahliatack.net.listener import Listener
+from dahliatack.net.unread import unread
 
 from .world import (
     LONG,
@@ -19,8 +27,10 @@
     FakeDiscovery,
     FakeServer,
     Response,
+    Seen,
     World,
     play,
+    reply,
     request,
     settings,
     until,
@@ -29,6 +39,52 @@
 PATIENT = settings(limits={"maxAttempts": 4, "dialTimeout": 90_000.0, "keepalive": 30_000.0})
 
 
+@asynccontextmanager
+async def here(*servers: FakeServer, sockets: int = 256) -> AsyncIterator[tuple[Limiter, Listener]]:
+    """A limiter in this loop: what the loop has not come to yet is at its gate until the test awaits."""
+    entries = []
+    for server in servers:
+        await server.listen()
+        entries.append((api.Server(server.key.encode(), api.ServerState.READY), ("127.0.0.1", server.port)))
+    loop, clock = asyncio.get_running_loop(), Clock()
+    made = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "limits": {"sockets": sockets}}
+    config = parse({**made, "settings": settings()})
+    limiter = Limiter(loop, config, clock)
+    limiter.servers_changed(entries, True)
+    listener = Listener(loop, config, limiter, clock)
+    yield limiter, listener
+    if listener.socket.fileno() >= 0:
+        listener.stop_accepting()
+    listener.abort()
+    limiter.close()
+
+
+class Caller:
+    """A client whose bytes are in the limiter's kernel as soon as they are sent, with no turn of the loop."""
+
+    def __init__(self, listener: Listener) -> None:
+        self.socket = socket.create_connection(listener.socket.getsockname())
+        self.socket.setblocking(False)
+
+    def send(self, data: bytes) -> None:
+        self.socket.sendall(data)
+
+    async def response(self) -> tuple[int, bytes]:
+        """Status and body; IncompleteReadError or ConnectionResetError where the limiter closes without."""
+        reader = asyncio.StreamReader()
+        whole = asyncio.create_task(Connection(reader, None).response())  # type: ignore[arg-type]
+        loop = asyncio.get_running_loop()
+        while not whole.done():
+            if data := await loop.sock_recv(self.socket, 65536):
+                reader.feed_data(data)
+            else:
+                reader.feed_eof()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        got = await whole
+        return got.status, got.body
+
+
 async def list_of(w: World, *entries: dict[str, Any], whole: bool = False) -> None:
     """Discovery tells, and the limiter has heard."""
     w.discovery.tell(*entries, whole=whole)
@@ -124,3 +180,42 @@
             client.close()
 
     asyncio.run(main())
+
+
+# A connection to a server is closed, or brings a second answer, as it is taken
+
+
+@pytest.mark.parametrize("second", [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray", b""])
+def test_a_connection_with_an_unread_end_or_second_answer_is_not_used(
+    second: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(servers, "SETTLE", 0.0)
+    writers: list[asyncio.StreamWriter] = []
+
+    async def main() -> None:
+        async def kept(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            await reply(200, b"%d" % seen.connection)(seen, writer)
+
+        one = FakeServer("s-0")
+        one.answer = kept
+        async with here(one) as (limiter, listener):
+            caller = Caller(listener)
+            caller.send(request("order", rid="1"))
+            assert await caller.response() == (200, b"1")
+            [connection] = limiter.pool.idle
+            if second:
+                writers[0].write(second)  # to the kernel at once
+            else:
+                writers[0].get_extra_info("socket").shutdown(socket.SHUT_WR)
+            assert connection.transport is not None and unread(connection.transport)
+            got: list[tuple[api.Outcome, bytes]] = []
+
+            def ended(_: servers.Attempt, outcome: api.Outcome, body: bytes, content_type: bytes) -> None:
+                got.append((outcome, body))
+
+            limiter.pool.send(servers.Attempt(None, 0, b"s-0", request("order", rid="2"), ended), 5.0)
+            await until(lambda: got)
+            assert got == [(api.Outcome.OK, b"2")]
+
+    asyncio.run(main())
