Serve at SIGTERM what is in the backlog, unread or half read, and end before the kill

Now all is accepted that is in the backlog, a connection is closed only with nothing unread, and the process waits until no connection is left, or the time before the kill is over; then what still begins is refused at once.

Ruled out: answers not flushed at exit: a closing connection stays on the list until its bytes are out.

Tests put the bytes into the kernel and call the closing step in the same turn; each fails without the mend.

--- a/dahliatack/__main__.py
+++ b/dahliatack/__main__.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from .interface import Settings
 from .net.clock import Clock
 from .net.config import Config, ConfigError, load, reload
 from .net.discovery import Discovery, Names, Pace
@@ -20,8 +21,10 @@
 from .net.listener import Listener
 
 STILL_ACCEPT = 0.5  # s after SIGTERM in which connections still come
-END_BY = 3.2  # s after SIGTERM: what is held then is ended, since the kill follows
-FLUSH = 0.2  # s for the last answers to leave
+LONGEST = 3.0  # s: the kill comes no sooner after SIGTERM than the longest deadline, this at most,
+KILL_AFTER = 0.7  # and so much more
+FLUSH = 0.15  # s for the last answers to leave
+SPARE = 0.1  # s left before the kill
 KNOWN_ONLY = 1.0  # s to wait for discovery at start; after that the list from the configuration has to do
 
 log = logging.getLogger("dahliatack")
@@ -78,14 +81,22 @@
     log.info("discovery is %s:%d now, the counter %s", *config.discovery, config.counter)
 
 
+def end_by(settings: Settings) -> float:
+    """Seconds after SIGTERM: what is held then is ended, since the kill follows."""
+    deadline = max(cls.deadline for cls in settings.classes) / 1000
+    return min(LONGEST, deadline) + KILL_AFTER - FLUSH - SPARE
+
+
 async def drain(loop: asyncio.AbstractEventLoop, listener: Listener, limiter: Limiter) -> None:
+    """Connections still come for a while; then each is closed with its next answer, or between requests."""
     log.info("stopping, %d requests in hand", len(limiter.held))
-    end = loop.time() + END_BY
+    end = loop.time() + end_by(limiter.settings)
     listener.draining = True
     await asyncio.sleep(STILL_ACCEPT)
     listener.stop_accepting()
-    while limiter.held and loop.time() < end:
+    while listener.close_rested() and loop.time() < end:
         await asyncio.sleep(0.02)
+    listener.ended = True
     for exchange in limiter.held:
         limiter.end(exchange)
     end = loop.time() + FLUSH
--- a/dahliatack/net/clients.py
+++ b/dahliatack/net/clients.py
@@ -11,13 +11,14 @@
 
 from .limiter import Exchange
 from .requests import READ, BadRequest
+from .unread import unread
 
 BODY = 65536  # longest body taken
 HEAD = 32768  # most that is read of one request before its head is whole
 FRAMED = HEAD + 8 * BODY  # most that is read of one request in all: chunks may carry more framing than body
 PIPELINED = 16  # requests that may wait on a connection behind the one in hand
 DISCARD = 262_144  # bytes still read after an answer to bad input, before reading stops
-OVERFLOW_WAIT = 1000.0  # ms told to a client on one connection too many
+OVERFLOW_WAIT = 1000.0  # ms told to a client on one connection too many, or of a limiter that has ended
 DROPPED = frozenset(  # hop by hop, or written anew
     (
         b"connection",
@@ -67,6 +68,7 @@
     """Who accepted the connection: told of its states, and asked what to make of its requests."""
 
     draining: bool
+    ended: bool
 
     def opened(self, connection: ClientConnection) -> None: ...
     def reading(self, connection: ClientConnection) -> None: ...
@@ -243,7 +245,7 @@
     def _begin(self, item: Exchange | Canned) -> None:
         if isinstance(item, Canned):
             self._write(item.status, item.text, b"text/plain")
-        elif self.overflow:
+        elif self.overflow or self.keeper.ended:
             self.close_after = True
             self.keeper.abandon(item)
             self._write(503, retry_after=OVERFLOW_WAIT)
@@ -280,6 +282,11 @@
         if self.current is None and self.waiting:
             self._begin(self.waiting.popleft())
 
+    @property
+    def unread(self) -> bool:
+        """Whether a request, or the client's end, waits in the kernel."""
+        return self.transport is not None and not self.transport.is_closing() and unread(self.transport)
+
     def close(self) -> None:
         """Close between requests; at once where the client does not even read its answers."""
         if self.transport is not None and self.transport.get_write_buffer_size():
--- a/dahliatack/net/limiter.py
+++ b/dahliatack/net/limiter.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from .. import interface as api
-from ..brain import Gateway
+from ..brain import UPDATE, Gateway
 from ..interface import Effect, Outcome
 from .clock import Clock
 from .config import Address, Config
@@ -232,12 +232,13 @@
 
     def end(self, exchange: Exchange) -> None:
         """End a request now: its attempts time out, so that the module answers; else it is answered here."""
+        exchange.give_up_at = self.clock()  # it has no time for the attempt that the module may want next
         for attempt in exchange.out[:]:
             self.pool.give_up(attempt)
         if not exchange.over:
             # "Refused" says that another try is harmless: only where nothing ran or a repeat does no harm.
-            harmless = not exchange.maybe_ran and not exchange.out
-            self._answer(exchange, 503 if harmless or exchange.effect is Effect.REPEATABLE else 504)
+            harmless = not exchange.maybe_ran or exchange.effect is Effect.REPEATABLE
+            self._answer(exchange, 503 if harmless else 504, retry_after=UPDATE if harmless else 0.0)
             self._feed(api.ClientGone(exchange.event.id))
         self._settle(exchange)
 
--- a/dahliatack/net/listener.py
+++ b/dahliatack/net/listener.py
@@ -16,6 +16,8 @@
 IDLE = 20.0  # s after which a connection without a request in hand is closed
 LINGER = 0.75  # s that a connection with an answer to bad input is kept, so that the client gets to read it
 SWEEP = 0.25  # s between two looks at what has taken too long
+UNDER_WAY = 0.25  # s in which the request of a connection that was just opened is held to be on its way
+BACKLOG = 1024  # connections that the kernel holds until they are accepted
 ACCEPT_PAUSE = 0.05  # s without accepting when descriptors have run out
 
 States = dict[ClientConnection, None]  # in the order of entry, which is that of `since`
@@ -43,15 +45,16 @@
         self.idle: States = {}  # between requests
         self.lingering: States = {}  # answered with an error, to be closed
         self.tasks: set[asyncio.Task[None]] = set()
-        self.draining = False
+        self.draining = False  # each connection is closed with its next answer
+        self.ended = False  # nothing new is begun
         self.socket = _listen(config.listen)
         self.loop.add_reader(self.socket, self._accept)
         self._timer = loop.call_later(SWEEP, self._sweep)
 
     # Accepting
 
-    def _accept(self) -> None:
-        for _ in range(64):  # then give the requests in hand their turn
+    def _accept(self, most: int = 64) -> None:
+        for _ in range(most):  # then give the requests in hand their turn
             try:
                 accepted, _ = self.socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -129,9 +132,10 @@
         """Close what does least for its descriptor; False where all are at work."""
         # Those that never said a word go first, or a crowd of them would displace working clients.
         for state in (self.lingering, self.silent, self.idle):
-            if (oldest := next(iter(state), None)) is not None:
-                self._close(oldest)
-                return True
+            for connection in state:
+                if state is self.lingering or not connection.unread:
+                    self._close(connection)
+                    return True
         return False
 
     def _close(self, connection: ClientConnection) -> None:
@@ -141,9 +145,7 @@
     def _sweep(self) -> None:
         self._timer = self.loop.call_later(SWEEP, self._sweep)
         now = time.monotonic()
-        for state, limit in ((self.silent, READING), (self.idle, IDLE)):
-            while (oldest := next(iter(state), None)) is not None and oldest.since < now - limit:
-                self._close(oldest)
+        self._close_rested(now - READING, now - IDLE)
         # Not quite in order: a new connection's time began before its first byte.
         for slow in [c for c in self.partial if c.since < now - READING]:
             slow.fail(408, b"request not whole in time\n")
@@ -152,11 +154,24 @@
             if oldest.transport is not None:
                 oldest.transport.abort()
 
+    def _close_rested(self, silent_since: float, idle_since: float) -> None:
+        """Close what has waited for a request since then, unless one waits in the kernel."""
+        for state, since in ((self.silent, silent_since), (self.idle, idle_since)):
+            for connection in [c for c in state if c.since < since and not c.unread]:
+                self._close(connection)
+
     def stop_accepting(self) -> None:
+        """Take what is in the backlog, which the kernel would reset, and no more."""
         self.loop.remove_reader(self.socket)
+        self._accept(BACKLOG)
+        self.loop.remove_reader(self.socket)  # put back where descriptors ran out
         self.socket.close()
-        for connection in [*self.idle, *self.silent]:
-            self._close(connection)
+
+    def close_rested(self) -> bool:
+        """Close all that is between requests; whether any connection is left."""
+        now = time.monotonic()
+        self._close_rested(now - UNDER_WAY, now)
+        return bool(self.connections or self.tasks)
 
     def abort(self) -> None:
         self._timer.cancel()
@@ -198,5 +213,5 @@
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listening.setblocking(False)
     listening.bind(address)
-    listening.listen(1024)
+    listening.listen(BACKLOG)
     return listening
--- a/tests/test_net_crossings.py
+++ b/tests/test_net_crossings.py
@@ -18,7 +18,7 @@
 from dahliatack.net.clock import Clock
 from dahliatack.net.config import parse
 from dahliatack.net.limiter import Limiter
-from dahliatack.net.listener import Listener
+from dahliatack.net.listener import IDLE, READING, Listener
 from dahliatack.net.unread import unread
 
 from .world import (
@@ -33,6 +33,7 @@
     reply,
     request,
     settings,
+    silent,
     until,
 )
 
@@ -182,6 +183,103 @@
     asyncio.run(main())
 
 
+# SIGTERM, and what is in the listen backlog, unread on kept connections, or half read just then
+
+
+def test_what_is_in_the_listen_backlog_when_listening_ends_is_served() -> None:
+    async def main() -> None:
+        async with here(FakeServer("s-0")) as (_, listener):
+            listener.draining = True
+            callers = [Caller(listener) for _ in range(3)]
+            for n, caller in enumerate(callers):
+                caller.send(request(rid=str(n)))
+            listener.stop_accepting()
+            for caller in callers:
+                assert (await caller.response())[1] == b"from s-0"
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("kept", [True, False])
+def test_a_request_that_is_unread_when_connections_at_rest_are_closed_is_served(kept: bool) -> None:
+    async def main() -> None:
+        async with here(FakeServer("s-0")) as (_, listener):
+            caller = Caller(listener)
+            if kept:
+                caller.send(request(rid="1"))
+                assert (await caller.response())[1] == b"from s-0"
+            else:
+                await until(lambda: listener.silent)
+                next(iter(listener.silent)).since -= 1.0  # it was opened some time ago
+            listener.draining = True
+            listener.stop_accepting()
+            caller.send(request(rid="2"))
+            assert listener.close_rested()
+            assert (await caller.response())[1] == b"from s-0"
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("kept", [True, False])
+def test_a_request_that_arrives_as_its_connection_is_swept_is_served(kept: bool) -> None:
+    async def main() -> None:
+        async with here(FakeServer("s-0")) as (_, listener):
+            caller = Caller(listener)
+            if kept:
+                caller.send(request(rid="1"))
+                assert (await caller.response())[1] == b"from s-0"
+            await until(lambda: listener.idle if kept else listener.silent)
+            next(iter(listener.idle or listener.silent)).since -= (IDLE if kept else READING) + 1.0
+            caller.send(request(rid="2"))
+            listener._sweep()
+            assert (await caller.response())[1] == b"from s-0"
+
+    asyncio.run(main())
+
+
+def test_a_request_that_is_half_read_when_listening_ends_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(__main__, "STILL_ACCEPT", 0.0)
+    monkeypatch.setattr(__main__, "FLUSH", 0.0)
+
+    async def main() -> None:
+        async with here(FakeServer("s-0")) as (limiter, listener):
+            caller = Caller(listener)
+            caller.send(request()[:40])
+            await until(lambda: listener.partial)
+            drained = asyncio.create_task(__main__.drain(asyncio.get_running_loop(), listener, limiter))
+            await until(lambda: listener.socket.fileno() < 0, "listening has ended")
+            caller.send(request()[40:])
+            assert (await caller.response())[1] == b"from s-0"
+            await drained
+
+    asyncio.run(main())
+
+
+def test_a_request_that_is_ended_is_not_sent_on_anew() -> None:
+    async def main() -> None:
+        one, two = FakeServer("s-0"), FakeServer("s-1")
+        one.answer = two.answer = silent
+        async with here(one, two) as (limiter, listener):
+            caller = Caller(listener)
+            caller.send(request())
+            await until(lambda: one.seen or two.seen)
+            for exchange in limiter.held:
+                limiter.end(exchange)
+            assert (await caller.response())[0] == 503
+            caller.send(request("order", rid="2"))  # what would have been sent before it is there by then
+            await until(lambda: len(one.seen + two.seen) > 1)
+            assert [s.headers["x-request-id"] for s in one.seen + two.seen].count("9b1f03aa5c7e2d41") == 1
+
+    asyncio.run(main())
+
+
+def test_the_end_after_sigterm_comes_before_the_kill_whatever_the_deadlines() -> None:
+    for deadline, kill in ((400.0, 1.1), (3000.0, 3.7), (8000.0, 3.7)):
+        classes = (api.RequestClass(100.0, 200.0), api.RequestClass(100.0, deadline))
+        made = api.Settings(me=0, gateways=1, classes=classes, plans=(api.Plan(),))
+        assert kill - 0.3 < __main__.end_by(made) + __main__.FLUSH < kill
+
+
 # A connection to a server is closed, or brings a second answer, as it is taken
 
 
