End a given-up attempt's connection in the same turn, before the next attempt is sent

Pool.give_up and a spoilt answer ended with transport.abort(), which closes the socket in a later turn of the loop; the module's next attempt was written in the same turn, on a kept connection at once. For that long two attempts of one request were out on open connections.

At fault: ResponseProtocol.drop. It shuts the socket down first now. The test looks at the server's socket in the very turn; without the mend its end has not come.

Tests besides, in which no fault was found: a watch that is reset, an old agent that answers after the move by SIGHUP, a request that waits in line when its client leaves, unlike customers and classes on one connection.

--- a/dahliatack/net/clients.py
+++ b/dahliatack/net/clients.py
@@ -11,7 +11,7 @@
 
 from .limiter import Exchange
 from .requests import READ, BadRequest
-from .unread import unread
+from .sockets import unread
 
 BODY = 65536  # longest body taken
 HEAD = 32768  # most that is read of one request before its head is whole
--- a/dahliatack/net/responses.py
+++ b/dahliatack/net/responses.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from .sockets import cut
+
 HEAD = 32768  # longest head taken, interim answers included: they count for nothing and could go on for ever
 
 
@@ -75,7 +77,7 @@
     def drop(self) -> None:
         self._parser = None
         if self.transport is not None:
-            self.transport.abort()
+            cut(self.transport)
 
     def _reset(self) -> None:
         self.status = 0
--- a/dahliatack/net/servers.py
+++ b/dahliatack/net/servers.py
@@ -12,7 +12,7 @@
 from ..interface import Outcome
 from .config import Address
 from .responses import ResponseProtocol
-from .unread import unread
+from .sockets import unread
 
 BODY = 65536  # longest body of an answer
 STALLED = 0.15  # s for the rest of an answer that has begun: servers send it in one go, or it is spoilt
--- a/tests/test_net_crossings.py
+++ b/tests/test_net_crossings.py
@@ -19,7 +19,7 @@
 from dahliatack.net.config import parse
 from dahliatack.net.limiter import Limiter
 from dahliatack.net.listener import IDLE, READING, Listener
-from dahliatack.net.unread import unread
+from dahliatack.net.sockets import unread
 
 from .world import (
     LONG,
@@ -317,3 +317,123 @@
             assert got == [(api.Outcome.OK, b"2")]
 
     asyncio.run(main())
+
+
+# An attempt is given up, and the next one goes out in the same turn
+
+
+def test_an_attempt_that_is_given_up_is_over_at_its_server_before_anything_else_is_sent() -> None:
+    writers: list[asyncio.StreamWriter] = []
+
+    async def hangs(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writers.append(writer)
+        await silent(seen, writer)
+
+    async def main() -> None:
+        one = FakeServer("s-0")
+        one.answer = hangs
+        async with here(one) as (limiter, listener):
+            caller = Caller(listener)
+            caller.send(request())
+            await until(lambda: writers)
+            [exchange] = limiter.held
+            assert not unread(writers[0].transport)
+            limiter.pool.give_up(exchange.out[0])
+            assert unread(writers[0].transport)  # its end is there already
+
+    asyncio.run(main())
+
+
+# A watch is reset, or its agent answers after the limiter has moved away
+
+
+def test_a_watch_that_is_reset_is_opened_anew_and_misses_nothing() -> None:
+    async def story(w: World) -> None:
+        await until(lambda: w.discovery.targets and "timeout_ms=1000" in w.discovery.targets[-1][1])
+        before = w.discovery.connections
+        w.discovery.version += 1  # told to nobody: the watch is gone before
+        w.discovery.entries, w.discovery.whole = [w.servers[1].entry("leaving")], False
+        w.discovery.cut()
+        await until(lambda: w.discovery.connections > before and "since=2" in w.discovery.targets[-1][1])
+        for n in range(6):
+            assert (await w.ask(request("order", rid=str(n)))).body == b"from s-0"
+
+    play(story, servers=2)
+
+
+def test_an_old_agent_that_answers_after_the_move_is_not_heard() -> None:
+    async def story(w: World) -> None:
+        one, two = w.servers
+        there = FakeDiscovery()
+        there.entries = [one.entry()]
+        await there.listen()
+        w.discovery.up = False  # it holds the watch
+        before = w.discovery.closed
+        w.reload(discovery=there.address)
+        await until(lambda: there.targets and "since=1" in there.targets[-1][1], "the new list is heard")
+        w.discovery.tell(two.entry(), one.entry("left"), whole=True)
+        w.discovery.up = True  # and now it answers
+        await until(lambda: w.discovery.closed > before, "the old watch is over")
+        for n in range(6):
+            assert (await w.ask(request("order", rid=str(n)))).body == b"from s-0"
+
+    play(story, servers=2)
+
+
+# Clients that leave while their request waits in line, and unlike requests on one connection
+
+
+def test_a_request_that_waits_in_line_is_not_sent_once_its_client_has_left() -> None:
+    async def story(w: World) -> None:
+        opened = asyncio.Event()
+
+        async def held(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await opened.wait()
+            await reply(200)(seen, writer)
+
+        w.servers[0].answer = held
+        client = await w.connect()
+        client.send(request("order", rid="1") + request("order", rid="2"))
+        await until(lambda: w.seen)
+        before = w.descriptors()
+        client.close()
+        await until(lambda: w.descriptors() < before, "the limiter has seen it leave")
+        opened.set()
+        assert (await w.ask(request("order", rid="3"))).status == 200
+        assert [seen.headers["x-request-id"] for seen in w.seen] == ["1", "3"]
+
+    play(story)
+
+
+def test_unlike_customers_and_classes_on_one_connection_keep_what_is_theirs() -> None:
+    plan = {"quotaRate": 0.0, "peakUnits": 0.0, "valueFactor": 1.0}
+    made = settings(
+        contracts=[{**plan, "name": "free"}, {**plan, "name": "one", "open": 1}], peersTotal=3
+    )
+
+    async def by_class(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        status = 500 if seen.headers["x-class"] == "order" else 200
+        await reply(status, seen.headers["x-request-id"].encode())(seen, writer)
+
+    async def story(w: World) -> None:
+        w.servers[0].answer = by_class
+        client = await w.connect()
+        for n in range(12):
+            cls = ("read", "order", "submit")[n % 3]
+            customer, tariff = f"{n % 4:016x}", ("free", "one")[n % 2]
+            line = f"units=1,spread={1 + n % 3},first={n % 2}"
+            sent = request(
+                cls, rid=f"r{n}", customer=customer, wait=1000 + n, X_Tariff=tariff, X_Weight=line
+            )
+            client.send(sent)
+            got = await client.response()
+            assert (got.status, got.body) == ((502, b"") if cls == "order" else (200, f"r{n}".encode()))
+            for seen in w.seen:
+                if seen.headers["x-request-id"] == f"r{n}":
+                    assert seen.line.split()[1] == f"/{cls}/{customer}"
+                    assert (seen.headers["x-tariff"], seen.headers["x-weight"]) == (tariff, line)
+                    assert int(seen.headers["x-deadline-ms"]) <= 1000 + n
+        orders = [seen.headers["x-request-id"] for seen in w.seen if seen.headers["x-class"] == "order"]
+        assert orders == ["r1", "r4", "r7", "r10"]  # each of them once
+
+    play(story, made=made)
--- a/tests/world.py
+++ b/tests/world.py
@@ -121,9 +121,10 @@
     """Something that listens."""
 
     port = 0
+    connections = closed = 0
 
     async def listen(self) -> None:
-        self.connections = self.closed = 0
+        self.writers: list[asyncio.StreamWriter] = []
         self.server = await asyncio.start_server(self._connected, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -133,11 +134,17 @@
 
     async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self.writers.append(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await self.serve(reader, writer, self.connections)
         self.closed += 1
         writer.close()
 
+    def cut(self) -> None:
+        """Reset all connections."""
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int) -> None:
         raise NotImplementedError
 
@@ -174,7 +181,7 @@
     """A server to which connections stay silent until its gate opens: its backlog is full until then."""
 
     async def listen(self) -> None:
-        self.connections = self.closed = 0
+        self.writers = []
         self.listening = socket.socket()
         self.listening.bind(("127.0.0.1", 0))
         self.listening.listen(0)
