Give up an answer whose chunks or trailers never end

Heads and bodies had a bound; chunk extensions and trailers come after a first byte of body, so neither counted them, and since they keep coming the time-out for a stalled answer began anew each time. The request waited for its deadline while the limiter read at full speed: with a deadline of 60 s over 20 s of one core.

At fault: ResponseProtocol.data_received. All bytes of an answer are bounded now, by eight times the body beside the head, as for requests. Two servers that write for as long as they are read; both tests fail without the mend.

--- a/dahliatack/net/responses.py
+++ b/dahliatack/net/responses.py
@@ -10,6 +10,7 @@
 from .sockets import cut
 
 HEAD = 32768  # longest head taken, interim answers included: they count for nothing and could go on for ever
+FRAMING = 8  # times the body: most that chunks and trailers may add, which have no end of their own either
 
 
 class ResponseProtocol(asyncio.Protocol):
@@ -17,6 +18,7 @@
 
     __slots__ = (
         "_body",
+        "_came",
         "_complete",
         "_head",
         "_keep",
@@ -37,6 +39,7 @@
         self._complete = self._keep = False
         self.midway = False  # part of an answer has come
         self._head = 0  # bytes since the last answer, of which no body has come yet
+        self._came = 0  # bytes since the last answer
         self._reset()
 
     def answered(self, status: int, body: bytes, keep: bool) -> None:
@@ -54,16 +57,19 @@
             return
         sound = True
         self._head += len(data) if not self.size else 0
+        self._came += len(data)
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             sound = False
         if sound and not self._complete and not self.size and self._head > HEAD:
             sound = False  # a head without end
+        elif sound and not self._complete and self._came > HEAD + FRAMING * self.room:
+            sound = False  # chunks or trailers without end
         if not sound:
             self.drop()
         if self._complete:  # told here, not in a callback: the parser would take an error of ours for its own
-            self._complete, self._head = False, 0
+            self._complete, self._head, self._came = False, 0, 0
             body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
             # Bytes after the answer would be read as the answer to the next request on this connection.
             self.answered(self.status, body, sound and self._keep and not self.midway)
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -15,6 +15,7 @@
 
 from .world import (
     LONG,
+    Answer,
     FakeServer,
     Seen,
     World,
@@ -134,12 +135,30 @@
     play(story, servers=2)
 
 
+def endless(head: bytes, piece: bytes) -> Answer:
+    """An answer that goes on for as long as it is read."""
+
+    async def answer(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(head)
+        while True:  # ends with the connection
+            writer.write(piece)
+            await writer.drain()
+
+    return answer
+
+
 RUBBISH = {
     "not HTTP": raw(b"what?\r\n\r\n"),
     "body over its limit": reply(200, b"x" * 65537),
     "cut head": raw(b"HTTP/1.1 200 OK\r\nContent-Le"),
     "head without end": raw(b"HTTP/1.1 200 OK\r\n" + b"X-A: b\r\n" * 10_000),
     "interim answers without end": raw(b"HTTP/1.1 103 Early Hints\r\n\r\n" * 5_000),
+    "trailers without end": endless(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", b"X-A: b\r\n" * 100
+    ),
+    "chunks without end": endless(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n3;", b"x=y;" * 100
+    ),
     "length that does not fit": raw(b"HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nonly this"),
     "three gigabytes": raw(b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nfirst of it"),
     "two lengths": raw(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nabc"),
