Take turns at a busy discovery, and pass on what drained there

Seen: where lists are asked for, a limiter of 200 whose calls were turned away with 503 for 3 s called twice in all and heard the change 24.2 s after it could. At fault was `Pace.spread` in dahliatack/net/discovery.py: limiters / 8 s, times 0.2 to 1.8.

Now the module decides on the next call after one was turned away (dahliatack/news.py). Once a slot of 1 s each calls by a chance that follows the calls heard of, clamped to [8 / limiters, 1], so all together call about 8 times a second, while one that hears of no other's calls asks in the third slot at the latest. Each tells of its call, and of the servers that left by its list, in one datagram; times are drawn so that few tell what many know. By others' word a limiter only stops sending, and only while its own list is old. Without messages between limiters each asks every 4 slots at most: there the bound goes first. Where an agent pushes, a call that it turns away is repeated as any failed one.

Bounds, by tests/test_news.py with discovery refusing all and then answering 8 calls a second, one datagram in twenty lost: 200 and 7,200 limiters all leave the server alone within 6 s (at 7,200 all but one in a thousand after 2.2 s); alone among 200 or 7,200: within 6 s. Before, a limiter of 200 alone failed the test on real sockets.

The test of the spread is replaced by those of the turns.

--- a/dahliatack/__main__.py
+++ b/dahliatack/__main__.py
@@ -41,7 +41,9 @@
         config.dial_timeout,
         Pace.of(config.settings.gateways, pushed=not config.settings.must_subscribe),
         limiter.servers_changed,
+        limiter.discovery_failed,
     )
+    limiter.subscribe = discovery.call
     discovery.known(config.known)
     stop = asyncio.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
--- a/dahliatack/brain.py
+++ b/dahliatack/brain.py
@@ -5,12 +5,14 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from heapq import nsmallest
 from random import Random
 
 from . import interface as api
 from .gossip import Gossip
 from .interface import DedupScope, Effect, Outcome, ServerState
+from .news import CALLS, SLOT, News
 from .settings import check_settings
 from .state import Customer, Open, Watched, counter_name
 
@@ -24,7 +26,8 @@
 SPANS = 1.5  # burst times that a name spans where a gateway's share of the burst is under one request: what
 # a quiet start of the span leaves over is let in on top of the burst, so a long one passes floods
 ROOMY = 0.7  # of the burst: with less for sure in a store rebuilt from messages, the counter is asked
-TELL = 2  # token of the timer for the next message
+CALL, TELL, PASS_ON = 1, 2, 3  # tokens of timers: for a call to discovery, the next message, the next news
+ALONE = 4.0  # slots between two calls, at most, where limiters can't tell each other of theirs
 LATE = 500.0  # a reading wanted for longer than this is held to be missing
 CROWD = 0.6  # part of the counter's time-out beyond its best reply that counts as full load of the counter
 CALL_MIN, CALL_STEP = 0.05, 2.0  # floor of the chance of a call; most it moves with one reply
@@ -56,6 +59,7 @@
         self.names: dict[int, Customer] = {}
         self.servers: dict[bytes, Watched] = {}
         self.ready: list[Watched] = []
+        self.avoided: list[Watched] = []  # by others' word, while the own list is old
         self.requests: dict[int, Open] = {}
         self.actions: list[api.Action] = []
         self.calls, self.near = 1.0, 0.0  # chance of a call that is wanted; the counter's best reply time
@@ -72,7 +76,8 @@
         self.aim = min(c.aim for c in settings.classes)
         tells = settings.may_tell and settings.mail_per_s > 0 and settings.gateways > 1
         self.gossip = Gossip(settings, self.rng) if tells else None
-        self.telling = False  # a message is due
+        self.news = News(settings.gateways, self.rng) if tells and settings.must_subscribe else None
+        self.telling = self.passing = self.asking = False  # a message is due; news are; a call may be
         self.blind = max(0.0, 1 - START_OUT / settings.gateways)  # how little of a server's load is seen here
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -98,6 +103,8 @@
                 gone.customer.out -= gone.out
             case api.StreamStarted() if event.request in self.requests:
                 self.requests[event.request].streaming = True
+            case api.PeerMessage() if self.news and (named := self.news.heard(event.body)) is not None:
+                self._avoid(named)
             case api.PeerMessage() if self.gossip is not None:
                 self.gossip.heard(now, event.sender, event.body)
             case api.TimerFired(token=2) if self.gossip is not None:
@@ -106,9 +113,18 @@
                 if self.out or self.gossip.untold:
                     self._tell(self.gossip)
             case api.DiscoveryFailed():
-                self.actions.append(api.SetTimer(self.s.ask_every * self.rng.uniform(0.05, 0.15), 1))
+                self._unheard(event.refused)
             case api.TimerFired(token=1):
-                self.actions.append(api.Subscribe())
+                self.asking = False
+                if self.news is None or (self.news.refused and self.news.turn()):
+                    self.actions.append(api.Subscribe())
+                elif self.news.refused:
+                    self._call_later()
+            case api.TimerFired(token=3) if self.news is not None:
+                self.passing = False
+                if (body := self.news.message()) is not None:
+                    self.actions.append(api.Tell(body))
+                    self._pass_on(self.news)
         actions, self.actions = self.actions, []
         return actions
 
@@ -359,9 +375,58 @@
             self.wake_at = now + delay
             self.actions.append(api.SetTimer(delay, 0))
 
+    # What is known of the servers
+
+    def _unheard(self, refused: bool) -> None:
+        """A call to discovery failed: until one is answered, its list is old and others' word counts."""
+        if self.news is not None:
+            self.news.failed(refused)
+            self._avoid(self.news.words)
+            self._pass_on(self.news)
+        if refused:
+            self._call_later()
+
+    def _call_later(self) -> None:
+        if not self.asking:
+            self.asking = True
+            slots = 1.0 if self.news else min(ALONE, max(1.0, self.s.gateways / CALLS))
+            self.actions.append(api.SetTimer(slots * SLOT * self.rng.uniform(0.8, 1.2), CALL))
+
+    def _heard(self, e: api.ServersChanged, news: News) -> None:
+        """An answer of discovery, with all since the last: the list decides again, and what left is told."""
+        listed = {info.id for info in e.servers if info.state is ServerState.READY}
+        changed = list(self.servers) if e.full else [info.id for info in e.servers]
+        known = [s for key in changed if (s := self.servers.get(key)) is not None and s.ready]
+        news.answered([s.info.id for s in known if s.info.id not in listed])
+        if self.avoided:
+            for s in self.avoided:
+                s.avoided = False
+            self.avoided = []
+            self.ready = [s for s in self.servers.values() if s.ready]
+        self._pass_on(news)
+
+    def _pass_on(self, news: News) -> None:
+        if not self.passing and (news.asked or news.untold):
+            self.passing = True
+            self.actions.append(api.SetTimer(news.delay(), PASS_ON))
+
+    def _avoid(self, named: Iterable[bytes]) -> None:
+        """Leave alone what others say has drained or gone, while the own list is old."""
+        if self.news is not None and self.news.old:
+            told = [s for key in named if (s := self.servers.get(key)) is not None and s.ready]
+            for s in told:
+                s.avoided = True
+            if told:
+                self.avoided += told
+                self.ready = [s for s in self.ready if not s.avoided]
+
     # Server choice and health
 
     def _servers(self, now: float, e: api.ServersChanged) -> None:
+        if self.news is not None and not e.cached:
+            self._heard(e, self.news)
+        if not (e.servers or e.full):
+            return  # nothing changed
         named = {s.id for s in e.servers}
         for known in self.servers.values():
             known.ready = known.ready and (not e.full or known.info.id in named)
@@ -371,7 +436,7 @@
                 s = self.servers[info.id] = Watched(info, out=s.out if s else {})
             s.info, s.ready = info, info.state is ServerState.READY
         self.servers = {k: s for k, s in self.servers.items() if s.ready or s.out}  # machines come and go
-        self.ready = [s for s in self.servers.values() if s.ready]
+        self.ready = [s for s in self.servers.values() if s.ready and not s.avoided]
         if not self.bound:
             self._fleet(now)
 
--- a/dahliatack/interface.py
+++ b/dahliatack/interface.py
@@ -127,11 +127,12 @@
 class ServersChanged:
     servers: tuple[Server, ...]
     full: bool  # the whole list, which replaces the old one
+    cached: bool = False  # as last had, maybe long ago: not an answer of discovery
 
 
 @dataclass(frozen=True, slots=True)
 class DiscoveryFailed:
-    pass
+    refused: bool = True  # it was reached and turned the call away; else nothing of it was heard
 
 
 @dataclass(frozen=True, slots=True)
--- a/dahliatack/net/discovery.py
+++ b/dahliatack/net/discovery.py
@@ -20,7 +20,6 @@
 
 WAIT = 4000  # ms that a watch waits for news: short, so that a silent peer is noticed soon
 CALLS = 4.0  # a second, of all limiters while there is no news: discovery's capacity is one for all
-RETRIES = 8.0  # a second, of all limiters while it is busy: more only keep it from answering any
 LONGEST_WAIT = 20000  # ms, in a fleet of any size: a dead agent must be noticed in the end
 PATIENCE = 1.5  # s beyond that before the call counts as failed: after 2 s its news count as told
 # Where lists are pushed, an agent on this machine answers at once and at no cost, and what it has counts as
@@ -32,7 +31,8 @@
 STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 Entries = list[tuple[Server, Address]]
-Changed = Callable[[Entries, bool], None]
+Changed = Callable[[Entries, bool, bool], None]  # entries, whether they are the whole list, as last known
+Failed = Callable[[bool], None]  # whether discovery turned the call away
 
 
 class Names:
@@ -124,16 +124,14 @@
     wait: int  # ms that a watch waits for news
     patience: float  # s beyond that before a call counts as failed
     longest: float  # s between two calls that failed, at most
-    spread: float  # s between two calls that were turned away
-    free: bool  # a whole list costs no more than its changes
+    free: bool  # calls cost nothing, and a whole list no more than its changes
 
     @classmethod
     def of(cls, limiters: int, pushed: bool) -> Pace:
-        spread = limiters / RETRIES
         if pushed:
-            return cls(PUSHED_WAIT, PUSHED_PATIENCE, BACKOFF[0], spread, free=True)
+            return cls(PUSHED_WAIT, PUSHED_PATIENCE, BACKOFF[0], free=True)
         wait = min(LONGEST_WAIT, max(WAIT, round(1000 * limiters / CALLS)))
-        return cls(wait, PATIENCE, BACKOFF[1], spread, free=False)
+        return cls(wait, PATIENCE, BACKOFF[1], free=False)
 
 
 class Discovery:
@@ -145,14 +143,16 @@
         dial_timeout: float,
         pace: Pace,
         changed: Changed,
+        failed: Failed,
     ) -> None:
         self.pace = pace
-        self.loop, self.where, self.names, self.changed = loop, where, names, changed
+        self.loop, self.where, self.names, self.changed, self.failed = loop, where, names, changed, failed
         self.host = f"{where[0]}:{where[1]}"
         self.dial_timeout = min(dial_timeout / 1000, pace.patience)
         self.version: int | None = None  # of the list that changes apply to; None: the whole list is wanted
         self.current = False  # the last call was answered: the next may wait for news
         self.heard = asyncio.Event()
+        self.turn = asyncio.Event()  # after a call that was turned away: now the next may be made
         self.delay = BACKOFF[0]
         self.task: asyncio.Task[None] | None = None
 
@@ -169,7 +169,11 @@
         except ValueError as error:
             raise ConfigError(f"known: {error}") from None
         self.version = None if self.pace.free else version
-        self.changed(entries, True)
+        self.changed(entries, True, True)
+
+    def call(self) -> None:
+        """The decisions want the next call now."""
+        self.turn.set()
 
     def start(self) -> None:
         self.task = self.loop.create_task(self._run())
@@ -209,13 +213,17 @@
                 if connection is not None:
                     connection.drop()
             self.current = False
-            await asyncio.sleep(self._pause(busy))
+            if self.pace.free:  # an agent of this machine: nobody else waits for it
+                await asyncio.sleep(self._pause())
+            else:
+                self.turn.clear()
+                self.failed(busy)
+                # One that is busy serves all limiters: when to ask it again is decided with the others.
+                await (self.turn.wait() if busy else asyncio.sleep(self._pause()))
             self.delay = min(self.pace.longest, 2 * self.delay)
 
-    def _pause(self, busy: bool) -> float:
-        """Before the next call. Those turned away together must not come back together, nor all soon."""
-        pause = self.delay * random.uniform(0.8, 1.2)
-        return max(pause, self.pace.spread * random.uniform(0.2, 1.8)) if busy else pause
+    def _pause(self) -> float:
+        return self.delay * random.uniform(0.8, 1.2)
 
     async def _watch(self, connection: _Connection) -> bool:
         """One call; whether the next may follow on the same connection."""
@@ -236,8 +244,8 @@
             raise ValueError(f"generation {version} after {since}")
         first, self.version = since is None, version
         self.delay, self.current = BACKOFF[0], True
-        if entries or full:
-            self.changed(entries, full or first)
+        if entries or full or not self.pace.free:  # where it is asked, an answer without news is news too
+            self.changed(entries, full or first, False)
         if not self.heard.is_set():
             log.info("discovery: heard, generation %d, %d entries", version, len(entries))
             self.heard.set()
--- a/dahliatack/net/limiter.py
+++ b/dahliatack/net/limiter.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from .. import interface as api
@@ -81,6 +82,7 @@
         self.open_ids: set[bytes] = set()  # of requests read and not yet settled
         self.numbers = itertools.count()
         self.active: set[bytes] = set()  # servers that may be sent to
+        self.subscribe: Callable[[], None] = lambda: None  # the next call to discovery may be made
         self._sweep_timer = loop.call_later(SWEEP, self._sweep)
 
     @property
@@ -111,7 +113,9 @@
                 self._feed(api.ClientGone(exchange.event.id))
         self._settle(exchange)
 
-    def servers_changed(self, servers: list[tuple[api.Server, Address]], full: bool) -> None:
+    def servers_changed(
+        self, servers: list[tuple[api.Server, Address]], full: bool, cached: bool = False
+    ) -> None:
         named = set()
         for info, address in servers:
             named.add(info.id)
@@ -128,7 +132,10 @@
             self.active &= named
             for key in [key for key in self.pool.servers if key not in named]:
                 self.pool.remove(key)
-        self._feed(api.ServersChanged(tuple(info for info, _ in servers), full))
+        self._feed(api.ServersChanged(tuple(info for info, _ in servers), full, cached))
+
+    def discovery_failed(self, refused: bool) -> None:
+        self._feed(api.DiscoveryFailed(refused))
 
     # The module
 
@@ -157,8 +164,10 @@
                         self.peers.tell(action.body)
                 case api.LogLine():
                     log.info("module: %s", action.text)
-                case api.Probe() | api.Subscribe():
-                    pass  # the settings allow no probes, and discovery is always watched
+                case api.Subscribe():
+                    self.subscribe()
+                case api.Probe():
+                    pass  # the settings allow none
 
     def _wake(self, due: float, token: int) -> None:
         # The loop's time is that of its turn's start, so its timers may come early by the length of a turn;
--- a/dahliatack/wire.py
+++ b/dahliatack/wire.py
@@ -190,7 +190,7 @@
             raise WireError(f"unknown registry form {form}")
         if page not in self.pages:
             raise WireError(f"registry names page {page}, which never came")
-        return i.ServersChanged(self.pages[page], form != 0)
+        return i.ServersChanged(self.pages[page], form != 0, form == 2)
 
 
 def _slice(b: bytes, start: int, end: int) -> bytes:
--- a/tests/test_net_peers.py
+++ b/tests/test_net_peers.py
@@ -10,6 +10,7 @@
 import pytest
 
 from dahliatack.net.config import ConfigError, parse
+from dahliatack.news import MARK
 
 from .world import World, quota, request, settings, until, world
 
@@ -72,6 +73,40 @@
     assert answer.status == 429 and float(answer.headers["retry-after"]) > 0
 
 
+def test_what_another_says_has_drained_is_left_alone_while_discovery_turns_calls_away() -> None:
+    async def story() -> None:
+        own, other = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2))
+        addresses = tier([own, other])
+        own.close()
+        other.setblocking(False)
+        got: list[bytes] = []
+
+        def told(flag: bytes) -> list[bytes]:
+            with contextlib.suppress(BlockingIOError):
+                got.append(other.recv(1024))
+            return [body for body in got if body[: len(MARK) + 1] == MARK + flag]
+
+        made = telling(discovery="on_request")
+        more = {"peer_listen": addresses[0], "peers": addresses}
+        async with world(servers=2, made=made, more=more) as w, asyncio.timeout(60):
+            await until(lambda: w.discovery.answered)
+            w.discovery.status = 503
+            w.discovery.tell(w.servers[1].entry("leaving"))
+            await until(lambda: told(b"\x01"), "word of a call that was turned away")
+            host, _, port = addresses[0].partition(":")
+            other.sendto(MARK + b"\x00\x03s-0", (host, int(port)))
+            for n in range(8):
+                answer = await w.ask(request(rid=str(n), customer=f"{0xFACADE + n:016x}"))
+                assert answer.body == b"from s-1"
+            w.discovery.status = 200
+            await until(lambda: any(b"s-1" in body for body in told(b"\x01")), "word of what drained")
+            answer = await w.ask(request(rid="last", customer=f"{0xBEE:016x}"))
+            assert answer.body == b"from s-0"  # the own list decides again
+        other.close()
+
+    asyncio.run(story())
+
+
 @pytest.mark.parametrize(
     "wrong",
     [
--- a/tests/test_net_services.py
+++ b/tests/test_net_services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
@@ -11,7 +12,7 @@
 from dahliatack.net.counter import Counter
 from dahliatack.net.discovery import Discovery, Names, Pace, members
 
-from .world import FakeCounter, World, play, quota, request, settings, silent, until
+from .world import FakeCounter, FakeDiscovery, World, play, quota, request, settings, silent, until
 
 
 async def served_by(w: World, rounds: int = 12) -> set[bytes]:
@@ -134,16 +135,54 @@
     play(story, servers=2, made=settings(discovery="on_request"))
 
 
-def test_limiters_that_a_busy_discovery_turned_away_come_back_spread_out() -> None:
-    # Seen after 28 of 40 limiters restarted together: each asked once a second, and none was ever answered.
-    loop = asyncio.new_event_loop()
-    pace = Pace.of(40, pushed=False)
-    made = Discovery(loop, ("127.0.0.1", 1), Names([], []), 250.0, pace, lambda *_: None)
-    loop.close()
-    pauses = sorted(made._pause(True) for _ in range(1000))
-    assert 4.0 < sum(pauses) / 1000 < 6.0  # 8 calls a second, of 40
-    assert pauses[100] < 2.5 and pauses[900] > 7.5
-    assert made._pause(False) < 0.1  # its agent was restarted, say
+def test_a_limiter_that_a_busy_discovery_turned_away_asks_when_its_turn_comes() -> None:
+    # How a fleet takes turns is in test_news.py. Before, a limiter of 200 came back after 5 to 45 s.
+    failed: list[bool] = []
+    changed: list[tuple[int, bool, bool]] = []
+
+    async def story() -> None:
+        peer, loop = FakeDiscovery(), asyncio.get_running_loop()
+        await peer.listen()
+        peer.status = 503
+        made = Discovery(
+            loop,
+            ("127.0.0.1", peer.port),
+            Names([], []),
+            250.0,
+            Pace.of(200, pushed=False),
+            lambda entries, full, cached: changed.append((len(entries), full, cached)),
+            failed.append,
+        )
+        made.start()
+        for call in (1, 2):
+            await until(lambda call=call: len(failed) == call)  # type: ignore[misc]
+            assert len(peer.targets) == call  # none before its turn
+            assert not made.turn.is_set()
+            peer.status = 503 if call == 1 else 200
+            made.call()
+        await until(lambda: changed)
+        made.close()
+        peer.server.close()
+
+    asyncio.run(story())
+    assert failed[:2] == [True, True]
+    assert changed[0] == (0, True, False)
+
+
+def test_a_limiter_of_many_hears_within_six_seconds_what_a_busy_discovery_has_to_tell() -> None:
+    # Seen with 200 limiters, each call turned away for 3 s: the second call came 24 s after that.
+    async def story(w: World) -> None:
+        await until(lambda: w.discovery.answered)
+        w.discovery.status = 503
+        w.discovery.tell(w.servers[1].entry("leaving"))
+        before = len(w.discovery.answered)
+        await until(lambda: len(w.discovery.answered) > before, "a call that is turned away")
+        w.discovery.status, since = 200, time.monotonic()
+        await until(lambda: "since=2" in w.discovery.targets[-1][1])
+        assert time.monotonic() - since < 6.0
+        assert await served_by(w) == {b"from s-0"}
+
+    play(story, servers=2, made=settings(discovery="on_request", peersTotal=200))
 
 
 def test_versions_that_run_back_lead_to_the_whole_list() -> None:
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,158 @@
+"""Turns at a busy discovery, and news of its list that limiters pass on: whole fleets on one clock."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from random import Random
+
+import pytest
+
+from dahliatack import interface as api
+from dahliatack.brain import Gateway
+from dahliatack.news import COPIES, LONGEST, MARK, News
+
+from .driver import driver, server, settings, sid
+
+TOLD = 6000.0  # ms after which a change counts as told, once discovery had it and could be reached
+REFUSES = 3000.0  # ms in which discovery turns every call away
+ANSWERS = 8.0  # calls a second that it answers after that
+
+
+class Fleet:
+    """Limiters that discovery turns away for a while; after that it answers so many calls a second."""
+
+    def __init__(self, limiters: int, running: int, loss: float = 0.05, refuses: float = REFUSES) -> None:
+        self.rng, self.loss, self.refuses = Random(limiters), loss, refuses
+        self.now, self.answered_at, self.order = 0.0, -1e9, 0
+        self.calls: list[float] = []
+        self.mail: list[int] = []  # lengths of the messages sent
+        self.unheard = set(range(running))  # limiters that still send to server 1
+        self.own: set[int] = set()  # limiters that discovery answered
+        self.events: list[tuple[float, int, int, api.Event | None]] = []  # of one, a message's of all others
+        self.fleet = []
+        for me in range(running):
+            made = settings(me=me, gateways=limiters, may_tell=True, mail_per_s=40.0, must_subscribe=True)
+            self.fleet.append(Gateway(made, me))
+            self.feed(me, api.ServersChanged((server(1), server(2)), True, cached=True))
+
+    def feed(self, me: int, event: api.Event) -> None:
+        for action in self.fleet[me].handle(self.now, event):
+            match action:
+                case api.SetTimer(delay, token):
+                    self.at(self.now + delay, me, api.TimerFired(token))
+                case api.Subscribe():
+                    self.calls.append(self.now)
+                    self.at(self.now + 2.0, me, None)
+                case api.Tell(body):
+                    self.mail.append(len(body))
+                    self.at(self.now + 20.0, me, api.PeerMessage(me, body))
+                case _:
+                    pass
+        if me in self.unheard and all(s.info.id != sid(1) for s in self.fleet[me].ready):
+            self.unheard.discard(me)
+
+    def at(self, when: float, me: int, event: api.Event | None) -> None:
+        self.order += 1
+        heappush(self.events, (when, self.order, me, event))
+
+    def called(self, me: int) -> None:
+        if self.now < self.refuses or self.now < self.answered_at + 1000 / ANSWERS:
+            return self.feed(me, api.DiscoveryFailed())
+        self.answered_at = self.now
+        self.own.add(me)
+        return self.feed(me, api.ServersChanged((server(1, api.ServerState.DRAINING),), False))
+
+    def until(self, end: float) -> None:
+        while self.events and self.events[0][0] <= end:
+            self.now, _, me, event = heappop(self.events)
+            if event is None:
+                self.called(me)
+            elif isinstance(event, api.PeerMessage):
+                for other in range(len(self.fleet)):
+                    if other != me and self.rng.random() >= self.loss:
+                        self.feed(other, event)
+            else:
+                self.feed(me, event)
+        self.now = end
+
+
+@pytest.mark.parametrize(("limiters", "running"), [(200, 200), (200, 1), (200, 2), (200, 20), (7200, 1)])
+def test_a_change_is_known_to_all_within_the_time_whatever_the_fleet(limiters: int, running: int) -> None:
+    f = Fleet(limiters, running)
+    f.until(REFUSES + TOLD)
+    assert not f.unheard
+    assert len(f.own) < running or running <= 20  # most of a large fleet know it from others
+
+
+def test_a_fleet_of_the_target_size_knows_a_change_soon_after_discovery_answers_one() -> None:
+    f = Fleet(7200, 7200, refuses=1300.0)
+    f.until(3500.0)
+    assert len(f.unheard) <= 0.001 * 7200  # one message in twenty is lost, but each answer is told
+    assert 3 < len([at for at in f.calls if at > 1300]) < 2 * ANSWERS * 2.2
+    assert len(f.mail) < 2 * ANSWERS * 3.5 + 16  # what a receiver takes in beyond the messages of use
+
+
+def test_a_fleet_that_was_turned_away_asks_no_more_than_discovery_can_answer() -> None:
+    # Seen after 28 of 40 limiters restarted together: each asked once a second, and none was ever answered.
+    for limiters in (40, 200):
+        f = Fleet(limiters, limiters)
+        f.until(REFUSES)
+        assert 4 <= len([at for at in f.calls if at > 1300]) / 1.7 <= 16
+        f.until(REFUSES + 1000 * limiters / 2.5)
+        assert len(f.own) > 0.9 * limiters  # each gets its turn
+
+
+def test_what_others_say_stops_sends_only_while_the_own_list_is_old() -> None:
+    d = driver(n_servers=2, may_tell=True, mail_per_s=40.0, must_subscribe=True)
+    word = MARK + b"\x00" + bytes((len(sid(0)),)) + sid(0)
+
+    def ready() -> set[bytes]:
+        return {s.info.id for s in d.gateway.ready}
+
+    d.feed(api.PeerMessage(1, word))
+    assert ready() == {sid(0), sid(1)}  # the own list is up to date: it will tell
+    d.feed(api.DiscoveryFailed(refused=False))
+    assert ready() == {sid(1)}  # also of what was heard since the last answer
+    d.feed(api.ServersChanged((server(3),), False))
+    assert ready() == {sid(0), sid(1), sid(3)}  # an answer brings all since the last: that decides
+    d.feed(api.DiscoveryFailed())
+    assert ready() == {sid(0), sid(1), sid(3)}
+    d.feed(api.PeerMessage(1, MARK + b"\x00" + bytes((len(sid(7)),)) + sid(7)))
+    assert ready() == {sid(0), sid(1), sid(3)}  # nobody is sent to by another's word
+    d.feed(api.PeerMessage(1, word))
+    d.feed(api.ServersChanged((server(0), server(1)), True))
+    assert ready() == {sid(0), sid(1)}
+
+
+def test_news_that_all_heard_at_once_are_told_by_few() -> None:
+    f = Fleet(400, 400, loss=0.0)
+    f.until(1000.0)
+    for left in (1, 2):  # after a time of refusals, and in quiet times
+        f.mail.clear()
+        for me in range(400):
+            f.feed(me, api.ServersChanged((server(left, api.ServerState.DRAINING),), False))
+        f.until(f.now + 600.0)
+        assert COPIES <= len(f.mail) <= 24 / left
+
+
+def test_messages_fit_and_spoilt_ones_are_passed_over() -> None:
+    news = News(40, Random(1))
+    news.answered(bytes((n,)) * (n or 1) for n in (*range(1, 60), 255))
+    heard = News(40, Random(2))
+    names = set()
+    while (body := news.message()) is not None:
+        assert len(body) <= LONGEST
+        names |= set(heard.heard(body) or ())
+    assert names == {bytes((n,)) * n for n in range(1, 60)}  # one that fits no message is left out
+    for spoilt in (b"", b"\x00", MARK[:3] + b"\x01\x01"):
+        assert heard.heard(spoilt) is None
+    for spoilt in (MARK, MARK + b"\x01", MARK + b"\x00\x05abc", MARK + b"\x00\x00"):
+        assert heard.heard(spoilt) == []
+
+
+def test_where_limiters_cannot_tell_each_other_each_asks_within_the_time() -> None:
+    d = driver(must_subscribe=True, gateways=7200)
+    d.actions.clear()
+    d.feed(api.DiscoveryFailed())
+    d.to(d.now + TOLD - 1000.0)
+    assert api.Subscribe() in d.actions
