Send nothing on for a client that has gone, where its end is not read yet

Seen, with the limiter stopped (SIGSTOP) while its client left: a first attempt of a request read after its client's end, a further attempt after a failing answer, a request held for the counter and the next in line were all sent on, up to as long after the close as the limiter did not run. The same crosses in one long turn of the loop, and where a connection comes up in the turn in which the client leaves, or reading is paused and the client ends its sending only.

Ruled out: a request whose connection has to be dialled after such a stop, for its client's end is read some turns before the dial is back. At fault: Limiter._send and Pool._dial, which took the loop's word for a client being there; the loop handles one batch of events in the kernel's order, and tells of a connection's end one turn after it was read.

Now the client's socket is asked (one poll, POLLRDHUP, so that unread bytes before the end do not hide it) where an attempt begins and where a dialled connection is about to be written. A client found gone has its connection closed and its request ended; the module hears so with the attempt's end (MOOT or CANCELLED, finished). A dialled connection is kept.

--- a/dahliatack/net/clients.py
+++ b/dahliatack/net/clients.py
@@ -11,7 +11,7 @@
 
 from .limiter import Exchange
 from .requests import READ, BadRequest
-from .sockets import unread
+from .sockets import hung_up, unread
 
 BODY = 65536  # longest body taken
 HEAD = 32768  # most that is read of one request before its head is whole
@@ -287,8 +287,12 @@
         """Whether a request, or the client's end, waits in the kernel."""
         return self.transport is not None and not self.transport.is_closing() and unread(self.transport)
 
+    def hung_up(self) -> bool:
+        """Whether the client has gone, also where the loop has not come to read its end."""
+        return self.transport is None or hung_up(self.transport)
+
     def close(self) -> None:
-        """Close between requests; at once where the client does not even read its answers."""
+        """Close between requests, or after its client; at once where that does not even read its answers."""
         if self.transport is not None and self.transport.get_write_buffer_size():
             self.transport.abort()
         elif self.transport is not None:
--- a/dahliatack/net/limiter.py
+++ b/dahliatack/net/limiter.py
@@ -8,6 +8,7 @@
 import math
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from .. import interface as api
@@ -31,6 +32,8 @@
     def answer(
         self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after: float = 0.0
     ) -> None: ...
+    def hung_up(self) -> bool: ...
+    def close(self) -> None: ...
 
 
 class Exchange:
@@ -104,6 +107,8 @@
         self._feed(exchange.event)
 
     def client_gone(self, exchange: Exchange) -> None:
+        if exchange.over and exchange.event.id not in self.exchanges:
+            return  # noticed before, and settled: its id may be another request's by now
         exchange.client = None
         for attempt in exchange.out:
             self.pool.give_up_unsent(attempt, Outcome.CANCELLED)
@@ -193,15 +198,26 @@
         left = exchange.give_up_at - self.clock()
         wait = min(action.timeout, left) if action.timeout else left
         data = b"%bX-Deadline-Ms: %d\r\n\r\n%b" % (exchange.head, max(1, int(wait)), exchange.body)
-        attempt = Attempt(exchange, exchange.attempts, action.server, data, self._attempt_ended)
+        gone = partial(self._left, exchange)
+        attempt = Attempt(exchange, exchange.attempts, action.server, data, self._attempt_ended, gone)
         exchange.attempts += 1
         exchange.out.append(attempt)
-        if exchange.over or wait <= 0 or attempt.number >= self.settings.max_attempts:
+        if self._left(exchange) or wait <= 0 or attempt.number >= self.settings.max_attempts:
             self.loop.call_soon(attempt.end, Outcome.MOOT)
             return
         # One that may last to the end of its request is ended by the request's own timer.
         self.pool.send(attempt, wait / 1000 if wait < left - 0.5 else None)
 
+    def _left(self, exchange: Exchange) -> bool:
+        """Whether nothing more may be sent for it; asked where an attempt begins.
+
+        After a turn that was long, or a wait for the processor, the client's end may be behind what led here.
+        """
+        if not exchange.over and exchange.client is not None and exchange.client.hung_up():
+            client, exchange.client, exchange.over = exchange.client, None, True
+            client.close()
+        return exchange.over
+
     def _attempt_ended(self, attempt: Attempt, outcome: Outcome, body: bytes, content_type: bytes) -> None:
         exchange: Exchange = attempt.owner
         exchange.out.remove(attempt)
--- a/dahliatack/net/servers.py
+++ b/dahliatack/net/servers.py
@@ -31,12 +31,16 @@
 
 
 class Attempt:
-    """One send of a request to a server. `ended` is called exactly once for it."""
+    """One send of a request to a server. `ended` is called exactly once for it.
+
+    `left` tells whether its client has gone; it is asked where a wait for a connection is over.
+    """
 
     __slots__ = (
         "connection",
         "data",
         "ended",
+        "left",
         "number",
         "owner",
         "server",
@@ -47,8 +51,17 @@
         "written",
     )
 
-    def __init__(self, owner: Any, number: int, server: bytes, data: bytes, ended: Ended) -> None:
+    def __init__(
+        self,
+        owner: Any,
+        number: int,
+        server: bytes,
+        data: bytes,
+        ended: Ended,
+        left: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.owner, self.number, self.server, self.data = owner, number, server, data
+        self.left = left
         self.ended: Ended | None = ended
         self.started = time.monotonic()
         self.connection: ServerConnection | None = None
@@ -330,6 +343,10 @@
             return
         attempt.task = None  # from here on it is the connection's
         self.connections.add(connection)
+        if attempt.left():
+            self.rest(connection)
+            attempt.end(Outcome.CANCELLED)
+            return
         connection.start(attempt)
 
     # Connections
--- a/dahliatack/net/sockets.py
+++ b/dahliatack/net/sockets.py
@@ -15,13 +15,37 @@
     return bool(poll.poll(0))
 
 
+def hung_up(transport: asyncio.WriteTransport) -> bool:
+    """Whether the other side has closed, reset or ended its sending, be bytes unread before that or not."""
+    if transport.is_closing():
+        return True
+    descriptor = transport.get_extra_info("socket").fileno()
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    told = poll.poll(0)
+    if not told or told[0][1] & ~select.POLLIN:
+        return bool(told)
+    borrowed = _borrow(descriptor)  # where no hang-up is told, the end of the stream is one
+    try:
+        return not borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        borrowed.detach()
+
+
 def cut(transport: asyncio.WriteTransport) -> None:
     """End a connection now: an abort closes it in a later turn, and an attempt sent before would overlap."""
     if not transport.is_closing():
-        borrowed = socket.socket(
-            socket.AF_INET, socket.SOCK_STREAM, 0, fileno=transport.get_extra_info("socket").fileno()
-        )
+        borrowed = _borrow(transport.get_extra_info("socket").fileno())
         with contextlib.suppress(OSError):  # the other side was first
             borrowed.shutdown(socket.SHUT_RDWR)
-        borrowed.detach()  # the transport goes on to own it
+        borrowed.detach()
     transport.abort()
+
+
+def _borrow(descriptor: int) -> socket.socket:
+    """To be detached in the end, since the transport goes on to own it."""
+    return socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
--- /dev/null
+++ b/tests/test_net_terms.py
@@ -0,0 +1,216 @@
+"""Terms of the operators, forced on real sockets: a stopped limiter finds all that came meanwhile at once."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import signal
+import socket
+import struct
+import time
+from pathlib import Path
+
+import pytest
+
+from dahliatack.net.servers import SETTLE, ServerConnection
+from dahliatack.net.sockets import hung_up
+
+from .test_net_crossings import Caller, here
+from .world import Connection, FakeServer, Seen, World, play, quota, reply, request, until
+
+# A client that has gone: no attempt begins later, even where its end has not been read yet
+
+LEAVING = ("close", "reset", "half-close")
+
+
+async def stopped(w: World) -> None:
+    """The limiter does not run from here on; what comes waits for it in the kernel."""
+    w.process.send_signal(signal.SIGSTOP)
+    stat = Path(f"/proc/{w.process.pid}/stat")
+    await until(lambda: stat.read_text().rpartition(")")[2].split()[0] == "T", "it has stopped")
+
+
+async def leave(client: Connection, how: str) -> None:
+    """Leave, and return once the other side's kernel knows."""
+    if how == "half-close":
+        client.writer.write_eof()
+        return
+    if how == "reset":
+        linger = struct.pack("ii", 1, 0)
+        client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    client.writer.transport.abort()
+    await asyncio.sleep(0)  # the turn in which asyncio closes it
+    assert client.writer.get_extra_info("socket").fileno() < 0
+
+
+async def goes_on(w: World, *sent: str) -> None:
+    """The limiter runs again and serves; `sent` are the ids that servers have got until then, in all."""
+    w.process.send_signal(signal.SIGCONT)
+    assert (await w.ask(request(rid="mark", customer="7".zfill(16)))).status == 200
+    assert [seen.headers["x-request-id"] for seen in w.seen] == [*sent, "mark"]
+    for server in w.servers:
+        server.seen.clear()
+
+
+class Gate:
+    """An answer of a server that is held back until the test lets it go."""
+
+    def __init__(self) -> None:
+        self.held: list[asyncio.StreamWriter] = []
+
+    async def __call__(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        self.held.append(writer)
+
+    def open(self, status: int = 200) -> None:
+        for writer in self.held:  # to the kernel at once
+            writer.write(b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status)
+        self.held.clear()
+
+
+async def resting(w: World, most: int) -> Gate:
+    """So many connections to the server rest there: what is sent next needs no dial. All answers are held."""
+    gate = w.servers[0].answer = Gate()
+    clients = [await w.connect() for _ in range(most)]
+    for n, client in enumerate(clients):
+        client.send(request(rid=f"{n}", customer=f"{16 + n:016x}"))
+    await until(lambda: len(gate.held) == most)
+    gate.open()
+    for client in clients:
+        assert (await client.response()).status == 200
+    settled = time.monotonic() + 2 * SETTLE
+    await until(lambda: time.monotonic() > settled)
+    for server in w.servers:
+        server.seen.clear()
+    return gate
+
+
+@pytest.mark.parametrize("how", LEAVING)
+def test_a_request_that_is_read_after_its_client_has_left_is_not_sent_on(how: str) -> None:
+    async def story(w: World) -> None:
+        kept, early = await w.connect(), await w.connect()
+        kept.send(request(rid="1"))
+        assert (await kept.response()).status == 200
+        await resting(w, 3)
+        w.servers[0].answer = reply(200)
+        await stopped(w)
+        for n, client in enumerate((kept, early, await w.connect())):
+            client.send(request(rid=f"gone{n}"))
+            await leave(client, how)
+        await goes_on(w)
+
+    play(story)
+
+
+@pytest.mark.parametrize("how", LEAVING)
+@pytest.mark.parametrize("answer_first", [True, False])
+def test_no_further_attempt_begins_once_the_client_has_left(how: str, answer_first: bool) -> None:
+    async def story(w: World) -> None:
+        gate, client = await resting(w, 2), await w.connect()
+        client.send(request(rid="gone"))
+        await until(lambda: gate.held)
+        w.servers[0].answer = reply(200)
+        await stopped(w)
+        if answer_first:
+            gate.open(500)
+        await leave(client, how)
+        gate.open(500)
+        await goes_on(w, "gone")
+
+    play(story)
+
+
+def test_a_request_held_for_the_counter_is_not_sent_once_its_client_has_left() -> None:
+    async def story(w: World) -> None:
+        await resting(w, 2)
+        w.servers[0].answer, w.counter.delay = reply(200), 60.0
+        before, client = len(w.counter.calls), await w.connect()
+        client.send(request(X_Weight="units=1,spread=2,first=0"))
+        await until(lambda: len(w.counter.calls) > before, "the counter is asked")
+        await stopped(w)
+        w.counter.writers[0].write(b"$1\r\n1\r\n")
+        await leave(client, "close")
+        await goes_on(w)
+
+    made = quota(rate=1.0, burst=1.5)
+    play(story, made={**made, "extra": {**made["extra"], "countLimit": 1000.0}})
+
+
+def test_a_connection_that_comes_up_carries_nothing_of_a_client_that_has_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        server = FakeServer("s-0")
+        async with here(server) as (limiter, listener):
+            caller, other = Caller(listener), Caller(listener)
+            made = ServerConnection.connection_made
+
+            def comes_up(connection: ServerConnection, transport: asyncio.BaseTransport) -> None:
+                made(connection, transport)
+                caller.socket.shutdown(socket.SHUT_RDWR)  # in the last turn before the attempt is written
+                monkeypatch.undo()
+
+            monkeypatch.setattr(ServerConnection, "connection_made", comes_up)
+            caller.send(request("order", rid="gone"))
+            await until(lambda: limiter.pool.connections, "the connection is up")
+            other.send(request("order", rid="mark"))
+            assert (await other.response())[0] == 200
+            assert [seen.headers["x-request-id"] for seen in server.seen] == ["mark"]
+            assert not limiter.exchanges and not limiter.open_ids
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("how", LEAVING)
+def test_the_next_in_line_is_not_sent_once_its_client_has_left(how: str) -> None:
+    async def story(w: World) -> None:
+        gate, client = await resting(w, 2), await w.connect()
+        client.send(request("order", rid="1") + request("order", rid="2"))
+        await until(lambda: gate.held)
+        w.servers[0].answer = reply(200)
+        await stopped(w)
+        gate.open()
+        await leave(client, how)
+        await goes_on(w, "1")
+
+    play(story)
+
+
+def test_the_next_in_line_is_not_sent_where_reading_is_paused_and_the_end_not_seen() -> None:
+    async def main() -> None:
+        server = FakeServer("s-0")
+        gate = server.answer = Gate()
+        async with here(server) as (limiter, listener):
+            caller = Caller(listener)
+            caller.send(request(rid="1") + request(rid="2"))
+            await until(lambda: gate.held)
+            [connection] = listener.connections
+            connection.pause_writing()  # as its transport does where the client reads no answers
+            caller.socket.shutdown(socket.SHUT_WR)
+            gate.open()
+            await until(lambda: not limiter.exchanges or len(server.seen) > 1, "the first is answered")
+            await until(lambda: not limiter.held or len(server.seen) > 1)
+            assert len(server.seen) == 1
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("told", [select.POLLRDHUP, 0])
+def test_a_hang_up_is_seen_at_once_with_and_without_its_own_event(
+    told: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(select, "POLLRDHUP", told)
+
+    async def main() -> None:
+        here, there = socket.socketpair()
+        transport, _ = await asyncio.get_running_loop().connect_accepted_socket(asyncio.Protocol, here)
+        transport.pause_reading()
+        assert not hung_up(transport)
+        there.send(b"GET")
+        assert not hung_up(transport)
+        assert here.recv(8) == b"GET"
+        there.shutdown(socket.SHUT_WR)
+        assert hung_up(transport)
+        transport.abort()
+        there.close()
+
+    asyncio.run(main())
