Give the places of half read requests to working clients when descriptors run out

Seen with 400 clients that write half a request, on 64 and 128 descriptors: a working client waited 6 to 12 s for its answer (64) or was turned away with 503 (128); where the crowd arrives at once, a request in the backlog behind it took 13 to 16 s. Idle clients alone did no harm (worst answer 0.09 s), and the list was heard within 0.2 s of the agent's return throughout: a watch frees its descriptor and takes it again before anything is accepted.

At fault: Listener._shed, which left half read requests their 2 s whatever waits; and Listener._accept, which took up to 64 connections in a turn, past the clients' share and up to the system's limit, from where on it took one each 50 ms.

Now the longest half read request is answered 503 (nothing of it ran) after all that is at rest was shed, and accepting stops 8 connections or a twentieth of all descriptors beyond the clients' share until there is room.

--- a/dahliatack/net/clients.py
+++ b/dahliatack/net/clients.py
@@ -150,8 +150,8 @@
         elif self.begun:
             self.keeper.reading(self)
 
-    def fail(self, status: int, text: bytes) -> None:
-        """Input that can't be read: answer and close, whatever else waits on this connection.
+    def fail(self, status: int, text: bytes, retry_after: float = 0.0) -> None:
+        """Input that can't be read, or not now: answer and close, whatever else waits on this connection.
 
         What was in hand gets this answer, a failure: where it came from can no longer be told for sure.
         """
@@ -160,7 +160,7 @@
         self.parser, self.close_after, self.error = None, True, Canned(status, text)
         self.received = 0
         self._abandon()
-        self._write(status, text, b"text/plain")
+        self._write(status, text, b"text/plain", retry_after)
 
     def _abandon(self) -> None:
         current, self.current = self.current, None
@@ -282,6 +282,11 @@
         if self.current is None and self.waiting:
             self._begin(self.waiting.popleft())
 
+    @property
+    def at_work(self) -> bool:
+        """Whether a request here is still owed its answer."""
+        return self.current is not None or bool(self.waiting)
+
     @property
     def unread(self) -> bool:
         """Whether a request, or the client's end, waits in the kernel."""
--- a/dahliatack/net/listener.py
+++ b/dahliatack/net/listener.py
@@ -6,7 +6,7 @@
 import socket
 import time
 
-from .clients import Canned, ClientConnection
+from .clients import OVERFLOW_WAIT, Canned, ClientConnection
 from .clock import Clock
 from .config import Address, Config
 from .limiter import Exchange, Limiter
@@ -17,6 +17,7 @@
 LINGER = 0.75  # s that a connection with an answer to bad input is kept, so that the client gets to read it
 SWEEP = 0.25  # s between two looks at what has taken too long
 UNDER_WAY = 0.25  # s in which the request of a connection that was just opened is held to be on its way
+LEAST_OVERFLOW = 8  # connections that are held beyond the most, while they are turned away
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
 ACCEPT_PAUSE = 0.05  # s without accepting when descriptors have run out
 
@@ -39,6 +40,7 @@
         self.loop, self.limiter, self.clock = loop, limiter, clock
         self.rules = Rules(config)
         self.most = config.share_of_sockets(0.55)
+        self.limit = self.most + max(LEAST_OVERFLOW, config.share_of_sockets(0.05))
         self.connections: set[ClientConnection] = set()
         self.silent: States = {}  # nothing has come yet
         self.partial: States = {}  # part of a request has come, whatever else is in hand
@@ -53,8 +55,13 @@
 
     # Accepting
 
-    def _accept(self, most: int = 64) -> None:
+    def _accept(self, most: int = 64, limited: bool = True) -> None:
         for _ in range(most):  # then give the requests in hand their turn
+            if limited and len(self.connections) + len(self.tasks) >= self.limit:
+                # The descriptors that are left are for servers, discovery and the counter.
+                if not self.tasks and not self._shed():
+                    self._pause()
+                return
             try:
                 accepted, _ = self.socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -63,14 +70,17 @@
                 # Out of descriptors, say: uvloop's own server closes its socket for good then, and a reader
                 # left in place would spin on it. The connection waits in the backlog for a moment.
                 self._shed()
-                self.loop.remove_reader(self.socket)
-                self.loop.call_later(ACCEPT_PAUSE, self._accept_again)
+                self._pause()
                 return
             accepted.setblocking(False)
             task = self.loop.create_task(self._connect(accepted))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
+    def _pause(self) -> None:
+        self.loop.remove_reader(self.socket)
+        self.loop.call_later(ACCEPT_PAUSE, self._accept_again)
+
     def _accept_again(self) -> None:
         if self.socket.fileno() >= 0:
             self.loop.add_reader(self.socket, self._accept)
@@ -136,6 +146,11 @@
                 if state is self.lingering or not connection.unread:
                     self._close(connection)
                     return True
+        # Then the longest half read; the close follows when the next one is shed, or its answer was read.
+        for connection in self.partial:
+            if connection.error is None and not connection.at_work and not connection.unread:
+                connection.fail(503, b"one connection too many\n", OVERFLOW_WAIT)
+                return True
         return False
 
     def _close(self, connection: ClientConnection) -> None:
@@ -163,7 +178,7 @@
     def stop_accepting(self) -> None:
         """Take what is in the backlog, which the kernel would reset, and no more."""
         self.loop.remove_reader(self.socket)
-        self._accept(BACKLOG)
+        self._accept(BACKLOG, limited=False)
         self.loop.remove_reader(self.socket)  # put back where descriptors ran out
         self.socket.close()
 
--- a/tests/test_net_terms.py
+++ b/tests/test_net_terms.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from dahliatack.net.listener import READING
 from dahliatack.net.servers import SETTLE, ServerConnection
 from dahliatack.net.sockets import hung_up
 
@@ -214,3 +215,41 @@
         there.close()
 
     asyncio.run(main())
+
+
+# Idle clients fill the descriptors while discovery is down
+
+HEALTH = b"GET /_health HTTP/1.1\r\n\r\n"
+
+
+@pytest.mark.parametrize("said", [b"", request(rid="half")[:60], HEALTH])
+@pytest.mark.parametrize("at_once", [True, False])
+def test_a_crowd_keeps_neither_working_clients_out_nor_news_of_servers(said: bytes, at_once: bool) -> None:
+    async def story(w: World) -> None:
+        w.discovery.up = False
+        crowd: list[Connection] = []
+
+        async def grow() -> None:
+            crowd.extend(await asyncio.gather(*(w.connect() for _ in range(40))))
+            for client in crowd[-40:]:
+                client.send(said)
+
+        if at_once:
+            await stopped(w)
+        for n in range(10):
+            await grow()
+            if not at_once:
+                assert (await w.ask(request(rid=f"{n}"))).status == 200  # by the list last known
+        working, began = await w.connect(), time.monotonic()
+        working.send(request(rid="working"))
+        w.process.send_signal(signal.SIGCONT)
+        assert (await working.response()).status == 200
+        assert time.monotonic() - began < READING  # it did not wait for the crowd's own end
+        w.discovery.tell(w.servers[1].entry("leaving"))
+        w.discovery.up, began = True, time.monotonic()
+        await until(lambda: f"since={w.discovery.version}" in w.discovery.targets[-1][1], "the list is heard")
+        assert time.monotonic() - began < 1.0
+        for client in crowd:
+            client.close()
+
+    play(story, servers=2, sockets=128, discovery_up=at_once)
