--- a/tests/test_net_terms.py
+++ b/tests/test_net_terms.py
@@ -9,15 +9,30 @@
 import struct
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from dahliatack.net.limiter import Exchange
 from dahliatack.net.listener import READING
 from dahliatack.net.servers import SETTLE, ServerConnection
 from dahliatack.net.sockets import hung_up
 
 from .test_net_crossings import Caller, here
-from .world import Connection, FakeServer, Seen, World, play, quota, reply, request, until
+from .world import (
+    Connection,
+    FakeCounter,
+    FakeDiscovery,
+    FakeServer,
+    LateServer,
+    Seen,
+    World,
+    play,
+    quota,
+    reply,
+    request,
+    until,
+)
 
 # A client that has gone: no attempt begins later, even where its end has not been read yet
 
@@ -186,11 +201,16 @@
             await until(lambda: gate.held)
             [connection] = listener.connections
             connection.pause_writing()  # as its transport does where the client reads no answers
+            [second] = connection.waiting
+            assert isinstance(second, Exchange)
             caller.socket.shutdown(socket.SHUT_WR)
             gate.open()
             await until(lambda: not limiter.exchanges or len(server.seen) > 1, "the first is answered")
             await until(lambda: not limiter.held or len(server.seen) > 1)
             assert len(server.seen) == 1
+            limiter.open_ids.add(second.name)  # it is another request's by now
+            limiter.client_gone(second)  # as its connection tells once it is closed
+            assert second.name in limiter.open_ids
 
     asyncio.run(main())
 
@@ -253,3 +273,76 @@
             client.close()
 
     play(story, servers=2, sockets=128, discovery_up=at_once)
+
+
+# Nine in ten that restart are ready within 10 s: also all together, with nothing else within reach
+
+READY = 10.0
+
+
+def refusing() -> FakeDiscovery:
+    """An address at which nobody listens."""
+    nobody = FakeDiscovery()
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        nobody.port = free.getsockname()[1]
+    return nobody
+
+
+async def restart(folder: Path, many: int, discovery: FakeDiscovery, **changes: Any) -> list[World]:
+    """So many limiters that start together; all of them listen."""
+    limiters = [World(folder / f"{n}", 0) for n in range(many)]
+    for n, limiter in enumerate(limiters):
+        limiter.folder.mkdir()
+        limiter.discovery = discovery
+        made = quota(rate=1.0, burst=5.0)
+        made["discovery"] = "pushed" if n % 2 else "on_request"
+        limiter.config = {"listen": "127.0.0.1:0", "seed": f"{n}", "settings": made, **changes}
+    await asyncio.gather(*(limiter.begin(1024) for limiter in limiters))
+    return limiters
+
+
+@pytest.mark.parametrize(
+    ("how", "listed"),
+    [
+        ("silent", True),
+        ("busy", True),
+        ("refusing", True),
+        ("full", True),
+        ("silent", False),
+        ("busy", False),
+    ],
+)
+def test_limiters_that_restart_together_are_ready_whatever_discovery_and_counter_do(
+    how: str, listed: bool, tmp_path: Path
+) -> None:
+    async def main() -> None:
+        server, discovery, counter = FakeServer("s-0"), FakeDiscovery(), FakeCounter()
+        full = LateServer("full")
+        discovery.up, discovery.status = how != "silent", 503
+        for peer in (server, counter, discovery, full):
+            await peer.listen()
+        agent = discovery
+        if how == "refusing":
+            agent, counter.port = refusing(), refusing().port
+        elif how == "full":
+            discovery.port = counter.port = full.port  # where no connection comes up
+        discovery.entries = [server.entry()]
+        known = {"generation": 1, "reset": True, "instances": discovery.entries} if listed else None
+        began = time.monotonic()
+        limiters = await restart(tmp_path, 5, agent, known=known, counter=counter.address)
+        try:
+            if not listed:  # then nobody can be ready before discovery tells
+                assert {(await limiter.ask(HEALTH)).status for limiter in limiters} == {503}
+                discovery.up, discovery.status, began = True, 200, time.monotonic()
+            await asyncio.gather(*(limiter.ready() for limiter in limiters))
+            assert time.monotonic() - began < READY
+            answers = await asyncio.gather(*(w.ask(request(rid=f"{n}")) for n, w in enumerate(limiters)))
+            assert {(answer.status, answer.body) for answer in answers} == {(200, b"from s-0")}
+        finally:
+            for limiter in limiters:
+                limiter.process.kill()
+                await limiter.process.wait()
+                limiter.reading.cancel()
+
+    asyncio.run(main())
