--- a/scale/process/fleet.py
+++ b/scale/process/fleet.py
@@ -92,7 +92,7 @@
         return self.entries[number]
 
     def change(self, now: int) -> None:
-        """One entry changes: in turn a data node joins (`now`: its start, Unix ms), the oldest drains, leaves."""
+        """One entry changes: in turn a data node joins (`now` is its start), the oldest drains, leaves."""
         step = (self.version - self.first) % 3
         if step == 0:
             changed = self._join(now)
--- a/scale/process/module.py
+++ b/scale/process/module.py
@@ -1,7 +1,7 @@
 """Experiments of the kind `module`: what the decision module's events cost by themselves, and its memory.
 
 Each size has a fresh interpreter, so that nothing of the one before is counted. Times are processor time of
-the thread in microseconds, as the median and the 99th percentile; a garbage collection falls on whom it meets.
+the thread in microseconds, as the median and the 99th percentile; garbage collection falls on whom it meets.
 """
 
 from __future__ import annotations
@@ -20,9 +20,10 @@
 
 from dahliatack import interface as api
 from dahliatack.brain import UPDATE, Gateway
+from dahliatack.gossip import MAIL_SHARE
 from dahliatack.net.config import parse
 
-from .fleet import message, plan_of, settings
+from .fleet import MAIL_PER_S, message, plan_of, settings
 from .limiter import status_mb
 from .plan import ModuleExperiment
 from .slopes import fit
@@ -133,7 +134,7 @@
 
 
 def measure(e: ModuleExperiment, servers: int, limiters: int, customers: int) -> dict[str, Any]:
-    """One size: list, rounds, changes, messages of the others, a request of each customer, rounds again."""
+    """One size: list, rounds, changes, news of each customer, a request of each, rounds again."""
     rng = Random(f"{e.seed} {servers} {limiters} {customers}")
     bench = Bench(e, limiters)
     before = _resident()
@@ -153,8 +154,12 @@
         bench.now += 2.0
         bench.feed("message", api.PeerMessage(next(senders), message(rng, population[at : at + e.entries])))
     after_heard = _resident()
-    refused, gap = 0, min(GAP, ALL_WITHIN / customers)
+    refused, gap, next_told = 0, min(GAP, ALL_WITHIN / customers), bench.now
     for number, customer in enumerate(population):
+        while bench.now >= next_told:  # the others are heard all the while
+            next_told += 1000.0 / (MAIL_SHARE * MAIL_PER_S)
+            told = message(rng, rng.sample(population, min(e.entries, customers)))
+            bench.feed("message", api.PeerMessage(next(senders), told))
         sent = bench.request(number, customer, limiters)
         bench.now += gap
         refused += not sent
--- a/scale/process/plan.py
+++ b/scale/process/plan.py
@@ -33,6 +33,7 @@
     work_ms: Annotated[float, Meta(ge=0.0, le=1000.0)] = 20.0  # a data node's time for a request
     counter_per_s: Pace = 0.0  # calls that the counter takes, beyond them it is busy; 0: any
     phase_s: Seconds = 10.0
+    settle_s: Seconds = 1.0  # before each phase, counted in none
     ready_within_s: Seconds = 30.0
 
 
--- a/scale/process/run.py
+++ b/scale/process/run.py
@@ -26,7 +26,6 @@
 Record = Callable[[dict[str, Any]], None]
 Progress = Callable[[str], None]
 
-SETTLE = 1.0  # s after the limiter is ready, and after each phase, that count in none
 ANSWERED = 4.0  # s after the last request in which its answer must come: its deadline and a second
 LONGEST_US = 60_000_000  # of the histogram
 PER_SIZE = ("ready_s", "start_processor_s", "peak_mb", "resident_mb", "list_bytes")
@@ -184,7 +183,7 @@
 async def _phases(world: World, limiter: LimiterProcess) -> list[dict[str, Any]]:
     lines: list[dict[str, Any]] = []
     for phase in phases(world.e):
-        await asyncio.sleep(SETTLE)
+        await asyncio.sleep(world.e.settle_s)
         lines.append(await _phase(world, limiter, phase, lines[-1] if lines else None))
     return lines
 
