Scale: hear the others throughout, fewer drained quotas, long lists written as they are read

A trial of module-servers found no sender heard while requests were timed: messages came before and fell silent for more than three intervals, so the requests took the counter's path. With 1,000 customers the messages of a whole tier told about as much as the quotas hold, and a quarter of the requests was refused; 10,000 are the default now. The list of 200,000 was counted as written though the limiter hangs up at 8 MiB.

--- a/scale/process/plan.py
+++ b/scale/process/plan.py
@@ -29,7 +29,7 @@
     datagrams_per_s: Pace = 32.0  # messages of the other limiters that reach this one
     entries: Annotated[int, Meta(ge=0, le=48)] = 25  # customers told in one message
     requests_per_s: Pace = 50.0
-    customers: Size = 1000
+    customers: Size = 10_000
     work_ms: Annotated[float, Meta(ge=0.0, le=1000.0)] = 20.0  # a data node's time for a request
     counter_per_s: Pace = 0.0  # calls that the counter takes, beyond them it is busy; 0: any
     phase_s: Seconds = 10.0
--- a/scale/process/run.py
+++ b/scale/process/run.py
@@ -85,6 +85,7 @@
         self.tier = Tier(limiters, self.customers, e.entries, rng)
         self.discovery: Discovery
         self.clients: Clients | None = None
+        self.late: list[float] = []  # s that the stand-ins acted after their time, in this phase
 
     async def start(self, folder: Path) -> LimiterProcess:
         await self.nodes.start(self.e.listeners)
@@ -137,7 +138,9 @@
             return
         began = time.monotonic()
         for n in range(round(per_s * seconds)):
-            await asyncio.sleep(began + (n + 0.5) / per_s - time.monotonic())
+            due = began + (n + 0.5) / per_s
+            await asyncio.sleep(due - time.monotonic())
+            self.late.append(time.monotonic() - due)
             act()
 
 
@@ -193,6 +196,7 @@
 ) -> dict[str, Any]:
     e, clients = world.e, world.clients
     assert clients is not None
+    world.late.clear()
     counts, began, processor = world.counts(), time.monotonic(), limiter.processor_s()
     async with asyncio.TaskGroup() as group:
         group.create_task(asyncio.sleep(e.phase_s))
@@ -213,7 +217,8 @@
     line["processor_ms_a_datagram"] = _each(more, phase.datagrams, phase.name == "datagrams")
     line["processor_ms_a_change"] = _each(more, phase.changes, phase.name == "changes")
     line["processor_ms_a_request"] = _each(more, phase.requests, phase.name == "load")
-    line |= _answers(clients) | _roles(world, phase, grown)
+    line |= _answers(clients) | {"stand_ins_late_p99_ms": _quantile(world.late, 99.0)}
+    line |= _roles(world, phase, grown)
     return line
 
 
@@ -225,22 +230,23 @@
 def _answers(clients: Clients) -> dict[str, Any]:
     """What came back, by status, and the time added to what was served: from writing a request to reading its
     whole answer, less the data node's own time. The stand-ins' share of it, on the same machine, is in."""
-    histogram = HdrHistogram(1, LONGEST_US, 3)
-    for added in clients.added:
-        histogram.record_value(max(1, round(added * 1e6)))
-
-    def at(percentile: float) -> float | None:
-        return histogram.get_value_at_percentile(percentile) / 1000 if clients.added else None
-
     return {
         "requests": clients.sent,
         "answers": {str(status): count for status, count in sorted(clients.statuses.items())},
         "lost": clients.sent - clients.statuses.total(),
-        "added_p50_ms": at(50.0),
-        "added_p99_ms": at(99.0),
+        "added_p50_ms": _quantile(clients.added, 50.0),
+        "added_p99_ms": _quantile(clients.added, 99.0),
     }
 
 
+def _quantile(seconds: list[float], percentile: float) -> float | None:
+    """In ms; None of nothing."""
+    histogram = HdrHistogram(1, LONGEST_US, 3)
+    for value in seconds:
+        histogram.record_value(max(1, round(value * 1e6)))
+    return histogram.get_value_at_percentile(percentile) / 1000 if seconds else None
+
+
 def _roles(world: World, phase: Phase, grown: Tally[str]) -> dict[str, Any]:
     """The roles' load from a whole tier of such limiters, derived; None where the phase has no requests."""
     if not phase.requests or world.clients is None:
--- a/scale/process/standins.py
+++ b/scale/process/standins.py
@@ -21,6 +21,7 @@
 IP_PKTINFO = 8  # names the source address of one datagram: Linux, ip(7)
 LENGTH = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
 REQUEST_ID = re.compile(rb"(?i)\r\nx-request-id: *([0-9a-f]+)")
+PIECE = 65_536  # bytes written at once
 SPREAD = 40  # limiters of a customer's set, at most
 
 
@@ -39,6 +40,8 @@
         self.traffic = traffic
         self.buffer = b""
         self.transport: asyncio.Transport | None = None
+        self.rest = memoryview(b"")  # of a long answer, not yet written
+        self.paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -47,6 +50,20 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
 
+    def pause_writing(self) -> None:
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        self._write()
+
+    def _write(self) -> None:
+        """A piece at a time, as the peer reads: so the traffic counts little that nobody takes."""
+        while self.rest and not self.paused and self.transport is not None:
+            piece, self.rest = self.rest[:PIECE], self.rest[PIECE:]
+            self.traffic.into += len(piece)
+            self.transport.write(piece)
+
     def data_received(self, data: bytes) -> None:
         self.traffic.out += len(data)
         self.buffer += data
@@ -59,12 +76,10 @@
             self.buffer = self.buffer[whole:]
             self.request(head)
 
-    def answer(self, status: int, body: bytes, more: str = "") -> None:
-        if self.transport is None:
-            return
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{more}\r\n".encode()
-        self.traffic.into += len(head) + len(body)
-        self.transport.writelines((head, body))
+    def answer(self, status: int, body: bytes) -> None:
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        self.rest = memoryview(head + body)
+        self._write()
 
     def request(self, head: bytes) -> None:
         raise NotImplementedError
--- a/tests/test_scale_process.py
+++ b/tests/test_scale_process.py
@@ -66,7 +66,7 @@
     assert [line["servers"] for line in sizes] == [20, 40, 60]
     for line in sizes:
         assert (line["list_n"], line["change_n"], line["round_idle_n"]) == (1, 12, 5)
-        assert line["message_n"] == 4 + 64  # 25 customers in each at first, then 32 a second for 2 s
+        assert line["message_n"] == 100 + 64  # one of each customer at first, then 32 a second for 2 s
         assert line["ended_n"] == 100 - line["refused"]
         # Those that are to stay open are asked for until two do, 8 times at most.
         assert 102 <= line["request_n"] <= 108 and line["attempts_out"] == 2
