Scale: the module hears each of the others, lines are fitted through what got ready

senders_heard was read after the last rounds, when at 40 limiters all had fallen silent, and at 7,200 only 2,000 had told. A size that never got ready holds no list, so its memory bent the line (20,000: 63.6 MB, 200,000 never ready: 26.4 MB).

--- a/scale/process/module.py
+++ b/scale/process/module.py
@@ -8,6 +8,7 @@
 
 import gc
 import itertools
+import math
 import multiprocessing
 import os
 import time
@@ -150,22 +151,24 @@
     population = rng.sample(range(2**33), customers)
     senders = itertools.cycle(range(1, limiters))
     before_heard = _resident()
-    for at in range(0, customers, e.entries):
+    for n in range(max(math.ceil(customers / e.entries), limiters - 1)):  # from each of the others too
         bench.now += 2.0
+        at = n * e.entries % customers
         bench.feed("message", api.PeerMessage(next(senders), message(rng, population[at : at + e.entries])))
     after_heard = _resident()
     refused, gap, next_told = 0, min(GAP, ALL_WITHIN / customers), bench.now
     for number, customer in enumerate(population):
         while bench.now >= next_told:  # the others are heard all the while
             next_told += 1000.0 / (MAIL_SHARE * MAIL_PER_S)
-            told = message(rng, rng.sample(population, min(e.entries, customers)))
-            bench.feed("message", api.PeerMessage(next(senders), told))
+            news = message(rng, rng.sample(population, min(e.entries, customers)))
+            bench.feed("message", api.PeerMessage(next(senders), news))
         sent = bench.request(number, customer, limiters)
         bench.now += gap
         refused += not sent
         for send in sent:
             bench.ended(send)
-    after_asked = _resident()
+    after_asked, told = _resident(), bench.gateway.gossip.told if bench.gateway.gossip else {}
+    senders_heard = len(told)
     held = 0
     for number in range(customers, customers + 4 * e.open):
         held += len(bench.request(number, population[number % customers], limiters))
@@ -187,7 +190,7 @@
         "peak_mb": status_mb(os.getpid(), "VmHWM"),
         "refused": refused,
         "attempts_out": held,
-        "senders_heard": len(bench.gateway.gossip.told) if bench.gateway.gossip else 0,
+        "senders_heard": senders_heard,
     }
     for name, spent in bench.spent.items():
         line[f"{name}_n"] = spent.get_total_count()
--- a/scale/process/run.py
+++ b/scale/process/run.py
@@ -53,10 +53,11 @@
     for servers, limiters in itertools.product(experiment.servers, experiment.limiters):
         progress(f"process: {servers} servers, {limiters} limiters")
         uvloop.run(_play(experiment, servers, limiters, keep))
+    ready = [at for at in lines if at["line"] == "size" and at["ready_s"] is not None]
     for swept in ("servers", "limiters"):
         if len(set(getattr(experiment, swept))) < 3:
             continue
-        for line in fit("process", swept, [at for at in lines if at["line"] == "size"], PER_SIZE):
+        for line in fit("process", swept, ready, PER_SIZE):
             record({**line, "phase": ""})
         for phase in phases(experiment):
             of_phase = [at for at in lines if at.get("phase") == phase.name]
