Test the hollow-limiter rig: stand-ins' bounds, one answer each, the same bytes twice

Wrong files give one line and exit code 2. A server that fell over is now missed by discovery, and each fault's line says when it ends.

--- a/scale/experiment.py
+++ b/scale/experiment.py
@@ -78,7 +78,8 @@
     """msgspec's message with the key first: `Expected ... - at $.a.b` becomes `a.b: expected ...`."""
     text, _, at = " ".join(message.split()).partition(" - at ")
     path = at.strip("`").removeprefix("$").removeprefix(".")
-    if named := re.match(r"Object (contains unknown|missing required) field `([^`]*)`", text):
-        key = f"{path}.{named[2]}" if path else named[2]
-        return f"{key}: {'not a key of this kind' if 'unknown' in named[1] else 'missing'}"
+    if named := re.match(r"Object (contains unknown|missing required) field `(\w*)`", text):
+        text = f"{named[2]}: {'not a key of this kind' if 'unknown' in named[1] else 'missing'}"
+    if re.match(r"[a-z_]+(\[\d+\])?(\.[a-z_]+)?: ", text):  # the key is told, by its place within `path`
+        return f"{path}.{text}" if path else text
     return f"{path or 'file'}: {text[:1].lower()}{text[1:]}"
--- a/scale/hollow/plan.py
+++ b/scale/hollow/plan.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+import math
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
@@ -19,8 +20,20 @@
 Range = tuple[Amount, Amount]
 
 
+def _check(part: msgspec.Struct) -> None:
+    """Raise ValueError, `KEY: what is wrong`, for what no range of a single number says."""
+    for key in part.__struct_fields__:
+        value: Any = getattr(part, key)
+        numbers = [n for n in (value if isinstance(value, tuple) else (value,)) if isinstance(n, float | int)]
+        if not all(map(math.isfinite, numbers)):
+            raise ValueError(f"{key}: not a finite number")
+        if len(numbers) == 2 and numbers[0] > numbers[1]:
+            raise ValueError(f"{key}: [{numbers[0]}, {numbers[1]}] ends before it begins")
+
+
 class _Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    pass
+    def __post_init__(self) -> None:
+        _check(self)
 
 
 class RequestClass(_Part, frozen=True):
@@ -106,6 +119,10 @@
 class _Fault(_Part, frozen=True, tag_field="kind"):
     at: Amount
 
+    def lasts(self) -> float:
+        """ms until the last of what it stopped is back."""
+        return 0.0
+
 
 class RestartLimiters(_Fault, frozen=True, tag="restart-limiters"):
     """A share of the limiters is killed, `batches` groups one after the other; each is back after `down`."""
@@ -115,6 +132,9 @@
     batches: Count = 1
     every: Amount = 0.0
 
+    def lasts(self) -> float:
+        return (self.batches - 1) * self.every + self.down
+
 
 class RestartServers(_Fault, frozen=True, tag="restart-servers"):
     """A share of the servers dies and comes back cold after `down`."""
@@ -122,6 +142,9 @@
     share: Share
     down: Amount = 10000.0
 
+    def lasts(self) -> float:
+        return self.down
+
 
 class DrainServers(_Fault, frozen=True, tag="drain-servers"):
     """A share of the servers drains for `drain` and ends; new ones with new ids start cold in their place."""
@@ -129,29 +152,37 @@
     share: Share
     drain: Amount = 4000.0
 
+    def lasts(self) -> float:
+        return self.drain
+
+
+class _Lasting(_Fault, frozen=True):
+    lasting: Positive
 
-class LoseZone(_Fault, frozen=True, tag="lose-zone"):
+    def lasts(self) -> float:
+        return self.lasting
+
+
+class LoseZone(_Lasting, frozen=True, tag="lose-zone"):
     """Limiters and servers of a zone vanish silently, and are back after `lasting`, cold, knowing nothing."""
 
     zone: Number
-    lasting: Positive
     limiters: bool = True
     servers: bool = True
 
 
-class CutRegions(_Fault, frozen=True, tag="cut-regions"):
+class CutRegions(_Lasting, frozen=True, tag="cut-regions"):
     """One region loses all others: nothing passes between, the counter included, for `lasting`."""
 
     region: Number
-    lasting: Positive
 
 
-class CounterOutage(_Fault, frozen=True, tag="counter-outage"):
-    lasting: Positive
+class CounterOutage(_Lasting, frozen=True, tag="counter-outage"):
+    """No call is answered."""
 
 
-class DiscoveryOutage(_Fault, frozen=True, tag="discovery-outage"):
-    lasting: Positive
+class DiscoveryOutage(_Lasting, frozen=True, tag="discovery-outage"):
+    """No change is told; those that come about meanwhile are told when it is back."""
 
 
 Fault = (
@@ -184,3 +215,23 @@
     window: Positive = 5000.0  # sliding, in which units beyond quotas are held against those before a fault
     max_attempts: Count = 4
     start_spread: Range = (100.0, 1000.0)  # first list of each limiter
+
+    def __post_init__(self) -> None:
+        _check(self)
+        if self.use.full + self.use.heavy + self.use.spiky > 1:
+            raise ValueError("use: its shares are more than all customers")
+        for key, parts in (("classes", self.classes), ("plans", self.plans)):
+            if not sum(part.share for part in parts):
+                raise ValueError(f"{key}: no share is above 0")
+        for n, plan in enumerate(self.plans):
+            if not plan.max_open and plan.burst < 1:
+                raise ValueError(f"plans[{n}].burst: under the one unit that a request takes")
+        if self.counter.region >= self.regions:
+            raise ValueError(f"counter.region: {self.counter.region} is not below regions, {self.regions}")
+        if self.regions > self.zones:
+            raise ValueError(f"regions: {self.regions} are more than zones, {self.zones}")
+        for n, fault in enumerate(self.faults):
+            if isinstance(fault, LoseZone) and fault.zone >= self.zones:
+                raise ValueError(f"faults[{n}].zone: {fault.zone} is not below zones, {self.zones}")
+            if isinstance(fault, CutRegions) and fault.region >= self.regions:
+                raise ValueError(f"faults[{n}].region: {fault.region} is not below regions, {self.regions}")
--- a/scale/hollow/rig.py
+++ b/scale/hollow/rig.py
@@ -385,6 +385,7 @@
         zone = self.wires.places.zone(number)
         server = Server(self.clock, self.e.servers, number, zone, self.mean_work)
         server.replied = self._replied
+        server.fell = self._fell
         self.servers[server.id] = server
         return server
 
@@ -433,6 +434,9 @@
             self.clock.at(self.clock.now + down, self._back, server)
         self.discovery.notice([s.info(api.ServerState.GONE) for s in lost], self.e.discovery.stopped)
 
+    def _fell(self, server: Server) -> None:
+        self.discovery.notice([server.info(api.ServerState.GONE)], self.e.discovery.stopped)
+
     def _back(self, server: Server) -> None:
         server.start()
         self.discovery.notice([server.info(api.ServerState.READY)], self.e.discovery.started)
--- a/scale/hollow/run.py
+++ b/scale/hollow/run.py
@@ -32,6 +32,7 @@
         record(summary(rig, traffic))
         for fault in e.faults:
             line: dict[str, Any] = {"fault": type(fault).__struct_config__.tag, "at_ms": fault.at}
+            line["ends_ms"] = fault.at + fault.lasts()
             record({"experiment": e.name, "seed": e.seed, **line, **rig.tally.recovery(fault.at)})
     finally:
         gc.enable()
--- a/scale/hollow/standins.py
+++ b/scale/hollow/standins.py
@@ -28,7 +28,7 @@
     """Zones and regions of limiters and servers: round and round by their number, as racks are filled."""
 
     def __init__(self, e: HollowExperiment) -> None:
-        self.zones, self.regions = e.zones, min(e.regions, e.zones)
+        self.zones, self.regions = e.zones, e.regions
 
     def zone(self, number: int) -> int:
         return number % self.zones
@@ -126,9 +126,7 @@
         self.clock, self.wires, self.figures = clock, wires, figures
         self.rng = Random(f"{seed}:counter")
         places = wires.places
-        self.zone = next(
-            (z for z in range(places.zones) if places.region_of_zone(z) == figures.region), 0
-        )
+        self.zone = next(z for z in range(places.zones) if places.region_of_zone(z) == figures.region)
         self.service = 1000 / figures.calls_per_s
         self.free_at = 0.0
         self.down = False
@@ -206,6 +204,7 @@
         self.held: dict[Attempt, None] = {}
         self.recent: deque[float] = deque()  # arrivals of late, while cold
         self.replied: Callable[[Attempt, Outcome], None] = lambda attempt, outcome: None
+        self.fell: Callable[[Server], None] = lambda server: None
 
     def info(self, state: api.ServerState) -> api.Server:
         return api.Server(self.id, state, zone=self.zone, started=max(0.0, self.began))
@@ -227,6 +226,7 @@
         if self.clock.now - self.began < self.figures.cold_time and self._falls():
             self.falls += 1
             self.stop()
+            self.fell(self)
             return self.replied(attempt, Outcome.CONNECT_FAILED)
         if self.running < self.figures.cores:
             self.held[attempt] = None
--- /dev/null
+++ b/tests/test_scale_cli.py
@@ -0,0 +1,73 @@
+"""The command line of scale: what it reads, writes and says of a wrong file."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from scale.__main__ import app
+from scale.experiment import load
+
+ROOT = Path(__file__).parent.parent
+SHIPPED = sorted((ROOT / "scale" / "experiments").glob("hollow-*.toml"))
+SMALL = ROOT / "scale" / "experiments" / "hollow-small.toml"
+
+
+@pytest.mark.parametrize("path", SHIPPED, ids=lambda path: path.stem)
+def test_every_shipped_experiment_can_be_read(path: Path) -> None:
+    assert load(path, 7).seed == 7  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ("[servers]", "colour = 1\n[servers]", "colour: not a key of this kind"),
+        ("per_limiter", "per_limitr", "servers.per_limitr: not a key of this kind"),
+        ("limiters = 12\n", "", "limiters: missing"),
+        ("limiters = 12", "limiters = 1", "limiters: expected `int` >= 2"),
+        ("duration = 20000.0", "duration = 'long'", "duration: expected `float`, got `str`"),
+        ("share = 0.53", "share = 1.53", "classes[0].share: expected `float` <= 1.0"),
+        ('kind = "lose-zone"', 'kind = "lose-all"', "faults[5].kind: invalid value 'lose-all'"),
+        ("set_size = [8, 12]", "set_size = [12, 8]", "clients.set_size: [12, 8] ends before it begins"),
+        ("duration = 20000.0", "duration = inf", "duration: not a finite number"),
+        ("burst = 3.5", "burst = 0.5", "plans[0].burst: under the one unit that a request takes"),
+        ("zone = 1\n", "zone = 3\n", "faults[5].zone: 3 is not below zones, 3"),
+        ('kind = "hollow"', 'kind = "solid"', "kind: 'solid' is none of hollow, process, module"),
+        ('kind = "hollow"', "kind = ", "not TOML"),
+    ],
+)
+def test_a_wrong_file_gives_one_plain_line_and_exit_code_2(
+    tmp_path: Path, old: str, new: str, says: str
+) -> None:
+    text = SMALL.read_text()
+    assert old in text
+    path = tmp_path / "wrong.toml"
+    path.write_text(text.replace(old, new, 1))
+    result = CliRunner().invoke(app, ["run", str(path)])
+    assert result.exit_code == 2 and result.stdout == ""
+    assert result.stderr.startswith("scale: ") and result.stderr.count("\n") == 1
+    assert says in result.stderr
+
+
+def test_what_cannot_be_opened_is_named() -> None:
+    for arguments in (["no-such.toml"], [str(SMALL), "--seed", "-1"], [str(SMALL), "--out", "no/such"]):
+        result = CliRunner().invoke(app, ["run", *arguments])
+        assert result.exit_code == 2 and result.stderr.count("\n") == 1
+
+
+def test_lines_go_to_the_file_or_to_stdout_and_the_table_to_stderr(tmp_path: Path) -> None:
+    out = tmp_path / "out.jsonl"
+    arguments = ["run", str(SMALL), "--seed", "3"]
+    # In a process of its own, so that nothing follows from the order of sets or the ids of objects.
+    command = [sys.executable, "-m", "scale", *arguments]
+    printed = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
+    filed = CliRunner().invoke(app, [*arguments, "--out", str(out), "--times"])
+    lines = out.read_text().splitlines()
+    assert filed.exit_code == 0 and filed.stdout == "" and printed.stdout.splitlines() == lines[:-1]
+    assert json.loads(lines[0])["seed"] == 3 and "wall_s" in json.loads(lines[-1])
+    assert "news_never_learnt" in printed.stderr and "20.0 s of 20.0 s" in printed.stderr
