--- a/scale/process/standins.py
+++ b/scale/process/standins.py
@@ -58,7 +58,7 @@
         self._write()
 
     def _write(self) -> None:
-        """A piece at a time, as the peer reads: so the traffic counts little that nobody takes."""
+        """A piece at a time, as the peer reads; what the kernel holds when it hangs up counts too."""
         while self.rest and not self.paused and self.transport is not None:
             piece, self.rest = self.rest[:PIECE], self.rest[PIECE:]
             self.traffic.into += len(piece)
