Bound what each of many gateways sends to a cold server by its even share

Of the two ranked 1.08 are cold where an even draw gives 0.5; they get 17% of the picks, their even share by warmth is 6%, and 21% of the picks find none. Ruled out: the late gateway (one that merely joins falls too).

Change: `_credit`. Every send earns each cold server its even share by warmth, times cold_overload * 0.75 / blind; one attempt at most is saved up, the first fraction is drawn. Without a whole one the server is left out of the choice. With five gateways or fewer (blind 0) nothing changes.

--- a/dahliatack/brain.py
+++ b/dahliatack/brain.py
@@ -42,6 +42,7 @@
 RANKED = 100  # servers that one choice looks at, at most: what is known of few beats an even draw
 RETRIES = 0.2  # further attempts a request: against retry storms; hurts where many servers fail at once
 HEALTH = 0.2  # weight of the newest outcome in a server's record; a quarter of it in the fleet's
+COLD_SHARE = 0.75  # of a cold server's budget that its even share of the sends may fill: room for chance
 AGEING = 3000.0  # life of a server's record: one that was silent for a while would stay unused long after
 OLD = 1000.0  # news of a server for longer than this is taken as aged when the next comes
 RESTS = 16  # times the first, the longest rest of a server that turns attempts away
@@ -67,6 +68,8 @@
         self.ps = self.chances[:]  # and p of customers without room
         self.told: dict[int, Customer] = {}  # customers with use to tell, or requests held for a reply
         self.wake_at = math.inf  # next housekeeping
+        self.even = 0.0  # sent here so far, each by the fleet's warmth then: the even share of a warm server
+        self.warm = 1.0  # the fleet's warmth, in warm servers
         self.depth = START_OUT  # attempts that a warm server is held to take, of all gateways
         self.bound = 0.0  # attempts out here that the fleet takes in good time
         self.area = self.area_at = self.rho_fleet = self.fleet_at = 0.0  # attempts out, summed over time
@@ -434,6 +437,8 @@
             s = self.servers.get(info.id)
             if s is None or info.started > s.info.started:  # a restarted process is known by nothing
                 s = self.servers[info.id] = Watched(info, out=s.out if s else {})
+                s.credit_at = self.even
+                s.credit = self.rng.random() if self.blind else 1.0  # not in the same moment at all gateways
             s.info, s.ready = info, info.state is ServerState.READY
         self.servers = {k: s for k, s in self.servers.items() if s.ready or s.out}  # machines come and go
         self.ready = [s for s in self.servers.values() if s.ready and not s.avoided]
@@ -445,6 +450,15 @@
         least = self.s.cold_capacity
         return min(1.0, least + (1 - least) * age / max(self.s.cold_time, 1e-9))
 
+    def _credit(self, now: float, s: Watched) -> float:
+        """Attempts that a cold server may get from here: its even share by warmth, and never over one saved
+        up. The least cost alone sends it all that a pressed fleet gets, since few attempts are out there."""
+        if not self.blind or (warmth := self._warmth(now, s)) >= 1:
+            return 1.0  # what is out here tells of the load, or there is no need
+        share = COLD_SHARE / self.blind * self.s.cold_overload * warmth * (self.even - s.credit_at)
+        s.credit, s.credit_at = min(1.0, s.credit + share), self.even
+        return s.credit
+
     def _pick(self, now: float, r: Open) -> Watched | None:
         """The least cost of all in a small fleet, of a few drawn in a large one."""
         drawn = self.ready if len(self.ready) <= RANKED else self.rng.sample(self.ready, RANKED)
@@ -456,6 +470,7 @@
         sound = [s for s in fresh if s.ejected <= 0 or (now >= s.ejected and not s.trial)]
         sound = fresh if 2 * len(sound) < len(fresh) else sound  # most look bad: none is at fault
         # Cold ones by chance, as their warmth: right in sum at any number of gateways; tries as they bear.
+        sound = [s for s in sound if self._credit(now, s) >= 1]
         best = nsmallest(max(1, int(self.s.cold_overload)), sound, lambda s: self._cost(now, s))
         return next((s for s in best if self.rng.random() < self._warmth(now, s)), None)
 
@@ -479,6 +494,7 @@
         if r.home is None:
             r.home, r.first, r.first_attempt = s.info, now, r.attempts
         r.tried.add(s.info.id)
+        self.even, s.credit = self.even + 1 / self.warm, s.credit - 1
         s.out[(e.id, r.attempts)] = s.sent = now
         r.attempts, r.out = r.attempts + 1, r.out + 1
         r.customer.out, self.out = r.customer.out + 1, self.out + 1
@@ -599,5 +615,6 @@
             self.depth = min(MAX_OUT, max(MIN_OUT, self.depth * phi))
         warmth = len(self.ready) - sum(1 - self._warmth(now, s) for s in self.ready if s.info.started > 0)
         least = min(LEAST_BOUND, max(1.0, LEAST_BOUND / max(self.rho_fleet, 1e-6)))
+        self.warm = max(1.0, warmth)
         self.bound = max(least, self.depth * warmth / self.s.gateways)
         self.fleet_at, self.done, self.area = now, 0, 0.0
--- a/dahliatack/state.py
+++ b/dahliatack/state.py
@@ -78,9 +78,10 @@
     rest: float = 0.0  # for how long, the last time
     sent: float = 0.0  # when the newest attempt went out
     proved: float = 0.0  # when the newest of those that ended well went out
+    credit: float = 0.0  # attempts that it may get from here while it is cold
+    credit_at: float = 0.0  # even share up to which that was counted
     out: dict[tuple[int, int], float] = field(default_factory=dict)
 
-
     def lost(self, before: float) -> int:
         """Attempts sent before that time and overtaken: they were lost on the way, the server is well."""
         before = min(before, self.proved)
