Take a late answer for a play of its test only where it came in the time that is tested

The test failed once on a machine with 23 runnable processes on 8 cores: its own stand-in wrote the late answer after the time in which a connection rests, and the next request was out by then, which nobody can tell apart.

--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -11,7 +11,7 @@
 
 from dahliatack.interface import Outcome
 from dahliatack.net import servers
-from dahliatack.net.servers import Ages, Attempt, Pool
+from dahliatack.net.servers import SETTLE, Ages, Attempt, Pool
 
 from .world import (
     LONG,
@@ -202,21 +202,31 @@
 def test_what_comes_late_on_a_connection_is_not_the_next_requests_answer() -> None:
     one = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
 
+    late: list[float] = []  # s from each answer to what came late
+
     async def twice(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        began = time.monotonic()
         writer.write(one)
         await writer.drain()
         await asyncio.sleep(0.002)  # in a segment of its own, just after the answer was taken
         writer.write(one)
+        late.append(time.monotonic() - began)
 
     async def story(w: World) -> None:
-        for n in range(20):
+        n, soon = 0, 0
+        while soon < 20:  # plays in which this process was not kept from writing it in time
             w.servers[0].answer = twice
             client = await w.connect()
             client.send(request(rid=f"{n}a"))
             assert (await client.response()).body == b"one"
             w.servers[0].answer = reply(200, b"two")
             client.send(request(rid=f"{n}b"))  # at once
-            assert (await client.response()).body == b"two"
+            answer = await client.response()
+            n += 1
+            await until(lambda n=n: len(late) == n)  # type: ignore[misc]
+            if late[-1] < SETTLE:
+                soon += 1
+                assert answer.body == b"two"
 
     play(story)
 
