Let told load weigh less the older it is, so that a shut fleet opens again

Cause: `Gossip.mean_out` and `mean_stay` took each gateway's last word at its face value for up to three intervals (`expire`), 18.6 s at 200 gateways, where each tells once in 6.2 s; one with nothing out and nothing to tell says no more at all. So the bound for a pressed fleet answered to the load of before, and could not see its own effect.

Now what was told loses two thirds of its weight in a second. Receivers get as many messages in a second in a fleet of any size, so the mean is of some 32 gateways as they are now. Nothing is kept for each sender any more.

The scale rig counts the senders that it was heard from by itself.

--- a/dahliatack/brain.py
+++ b/dahliatack/brain.py
@@ -601,8 +601,8 @@
         self.stay += weight * (stay - self.stay) if self.stay else stay
         mean = self.stay
         if self.gossip is not None and self.blind:
-            self.gossip.expire(now)
-            weight = 1 - math.exp(-max(self.done, 1) * (1 + len(self.gossip.told)) / FEW)
+            self.gossip.age(now)
+            weight = 1 - math.exp(-max(self.done, 1) * (1 + self.gossip.weight) / FEW)
             stay, mean = self.gossip.mean_stay(stay), self.gossip.mean_stay(mean)
         self.idle = min(mean, self.idle * 1.005 or mean) if self.done else self.idle
         if self.gossip is not None:
--- a/dahliatack/gossip.py
+++ b/dahliatack/gossip.py
@@ -24,6 +24,8 @@
 LONGEST = 256  # bytes of a message: the operators' limit
 SILENCE = 3.0  # intervals without any message, after which nobody is held to be heard
 FORGET = 60000.0  # an idle customer is forgotten: design page
+RECENT = 1000.0  # ms in which told load loses two thirds of its weight: what answers to load has to see its
+# own effect within a few updates, and in that time a receiver gets as many messages in any fleet
 HEAD = struct.Struct(">BH")  # attempts out, and their mean stay in ms
 GROUP = struct.Struct(">BB")  # plan, number of entries that follow
 UNITS = 7  # bits of an entry's units; the other 33 are the customer
@@ -52,8 +54,8 @@
         self.sample = max(UPDATE, 2 * self.interval)
         self.untold: dict[tuple[int, int], float] = {}  # units sent on by plan and customer, the oldest first
         self.heard_at = -math.inf
-        self.told: dict[int, tuple[float, int, int]] = {}  # by sender: when, attempts out, mean stay
-        self.out = self.stays = 0  # sums of these
+        self.weight = self.outs = self.stays = 0.0  # messages of late, attempts out and stays that they told
+        self.weighed = 0.0  # time of these
         self.stay = 0.0  # of an attempt at the mean gateway
         self.uses: dict[int, Use] = {}  # by customer, the longest idle first
 
@@ -121,28 +123,24 @@
         if (told := self._read(body)) is None:
             return
         self.heard_at = now
-        self._forget(sender)
+        self.age(now)
         out, stay = HEAD.unpack_from(body)
-        self.told[sender] = now, out, stay
-        self.out, self.stays = self.out + out, self.stays + stay
+        self.weight, self.outs, self.stays = self.weight + 1, self.outs + out, self.stays + stay
         for plan, customer, units in told:
             self._add(now, customer, plan, units)
 
-    def expire(self, now: float) -> None:
-        """Pass over those that fell silent, as one that died does."""
-        while self.told and now - self.told[oldest := next(iter(self.told))][0] > SILENCE * self.interval:
-            self._forget(oldest)
-
-    def _forget(self, sender: int) -> None:
-        _, out, stay = self.told.pop(sender, (0.0, 0, 0))
-        self.out, self.stays = self.out - out, self.stays - stay
+    def age(self, now: float) -> None:
+        """Let what was told weigh less the older it is."""
+        left = math.exp(min(0.0, self.weighed - now) / RECENT)
+        self.weight, self.outs, self.stays = left * self.weight, left * self.outs, left * self.stays
+        self.weighed = now
 
     def mean_out(self, own: float) -> float:
         """Attempts out at a gateway: what one of many sees alone jumps by chance."""
-        return (own + self.out) / (1 + len(self.told))
+        return (own + self.outs) / (1 + self.weight)
 
     def mean_stay(self, own: float) -> float:
-        return (own + self.stays) / (1 + len(self.told))
+        return (own + self.stays) / (1 + self.weight)
 
     def _read(self, body: bytes) -> list[tuple[int, int, float]] | None:
         told, at = [], HEAD.size
--- a/scale/process/module.py
+++ b/scale/process/module.py
@@ -83,6 +83,7 @@
         self.gateway = Gateway(config.settings, e.seed)
         self.now = 1000.0
         self.round_at = -UPDATE
+        self.heard: set[int] = set()  # senders of messages that the module took in
         self.spent = {name: HdrHistogram(1, LONGEST_NS, 3) for name in NAMES}  # ns, of every event
 
     def feed(self, name: str, event: api.Event) -> list[api.Action]:
@@ -91,6 +92,12 @@
             self.round("round_between")
         return self._timed(name, event)
 
+    def hear(self, sender: int, body: bytes) -> None:
+        """Another limiter's message."""
+        self.feed("message", api.PeerMessage(sender, body))
+        if self.gateway.gossip is not None and self.gateway.gossip.heard_at == self.now:
+            self.heard.add(sender)
+
     def round(self, name: str) -> None:
         """The module's round, 400 ms after the last one or later."""
         self.now = max(self.now, self.round_at + UPDATE)
@@ -154,22 +161,20 @@
     for n in range(max(math.ceil(customers / e.entries), limiters - 1)):  # from each of the others too
         bench.now += 2.0
         at = n * e.entries % customers
-        bench.feed("message", api.PeerMessage(next(senders), message(rng, population[at : at + e.entries])))
+        bench.hear(next(senders), message(rng, population[at : at + e.entries]))
     after_heard = _resident()
     refused, gap, next_told = 0, min(GAP, ALL_WITHIN / customers), bench.now
     for number, customer in enumerate(population):
         while bench.now >= next_told:  # the others are heard all the while
             next_told += 1000.0 / (MAIL_SHARE * MAIL_PER_S)
             news = message(rng, rng.sample(population, min(e.entries, customers)))
-            bench.feed("message", api.PeerMessage(next(senders), news))
+            bench.hear(next(senders), news)
         sent = bench.request(number, customer, limiters)
         bench.now += gap
         refused += not sent
         for send in sent:
             bench.ended(send)
-    after_asked, told = _resident(), bench.gateway.gossip.told if bench.gateway.gossip else {}
-    senders_heard = len(told)
-    held = 0
+    after_asked, held = _resident(), 0
     for number in range(customers, customers + 4 * e.open):
         held += len(bench.request(number, population[number % customers], limiters))
         if held >= e.open:
@@ -190,7 +195,7 @@
         "peak_mb": status_mb(os.getpid(), "VmHWM"),
         "refused": refused,
         "attempts_out": held,
-        "senders_heard": senders_heard,
+        "senders_heard": len(bench.heard),
     }
     for name, spent in bench.spent.items():
         line[f"{name}_n"] = spent.get_total_count()
