Tell of calls to a busy discovery as they are made, and ask less while few are turned away

A call was told once it was turned away, which a busy discovery does after 1 to 1.75 s, so the slot after the first calls heard of none and all asked at once (4 calls at 3 s, 22 at 4 s); and 8 calls a second in all were held up however few were left.

Now a call is told as it is made; 4 a second in all are the most that the turns aim at; the first chance goes by how many were turned away in the first slot, and rises only after two slots without any. What left is told three times in all.

--- a/dahliatack/brain.py
+++ b/dahliatack/brain.py
@@ -27,7 +27,7 @@
 # a quiet start of the span leaves over is let in on top of the burst, so a long one passes floods
 ROOMY = 0.7  # of the burst: with less for sure in a store rebuilt from messages, the counter is asked
 CALL, TELL, PASS_ON = 1, 2, 3  # tokens of timers: for a call to discovery, the next message, the next news
-ALONE = 4.0  # slots between two calls, at most, where limiters can't tell each other of theirs
+ALONE = 3.5  # slots between two calls, at most, where limiters can't tell each other of theirs
 LATE = 500.0  # a reading wanted for longer than this is held to be missing
 CROWD = 0.6  # part of the counter's time-out beyond its best reply that counts as full load of the counter
 CALL_MIN, CALL_STEP = 0.05, 2.0  # floor of the chance of a call; most it moves with one reply
@@ -60,7 +60,7 @@
         self.names: dict[int, Customer] = {}
         self.servers: dict[bytes, Watched] = {}
         self.ready: list[Watched] = []
-        self.avoided: list[Watched] = []  # by others' word, while the own list is old
+        self.avoided: set[bytes] = set()  # servers left alone by others' word, while the own list is old
         self.requests: dict[int, Open] = {}
         self.actions: list[api.Action] = []
         self.calls, self.near = 1.0, 0.0  # chance of a call that is wanted; the counter's best reply time
@@ -121,6 +121,8 @@
                 self.asking = False
                 if self.news is None or (self.news.refused and self.news.turn()):
                     self.actions.append(api.Subscribe())
+                    if self.news is not None:
+                        self._pass_on(self.news)
                 elif self.news.refused:
                     self._call_later()
             case api.TimerFired(token=3) if self.news is not None:
@@ -393,19 +395,15 @@
         if not self.asking:
             self.asking = True
             slots = 1.0 if self.news else min(ALONE, max(1.0, self.s.gateways / CALLS))
-            self.actions.append(api.SetTimer(slots * SLOT * self.rng.uniform(0.8, 1.2), CALL))
+            self.actions.append(api.SetTimer(slots * SLOT * self.rng.uniform(0.6, 1.4), CALL))
 
     def _heard(self, e: api.ServersChanged, news: News) -> None:
         """An answer of discovery, with all since the last: the list decides again, and what left is told."""
         listed = {info.id for info in e.servers if info.state is ServerState.READY}
-        changed = list(self.servers) if e.full else [info.id for info in e.servers]
-        known = [s for key in changed if (s := self.servers.get(key)) is not None and s.ready]
-        news.answered([s.info.id for s in known if s.info.id not in listed])
+        changed = self.servers if e.full else [info.id for info in e.servers]
+        news.answered([k for k in changed if k in self.servers and self.servers[k].ready and k not in listed])
         if self.avoided:
-            for s in self.avoided:
-                s.avoided = False
-            self.avoided = []
-            self.ready = [s for s in self.servers.values() if s.ready]
+            self.avoided, self.ready = set(), [s for s in self.servers.values() if s.ready]
         self._pass_on(news)
 
     def _pass_on(self, news: News) -> None:
@@ -415,13 +413,9 @@
 
     def _avoid(self, named: Iterable[bytes]) -> None:
         """Leave alone what others say has drained or gone, while the own list is old."""
-        if self.news is not None and self.news.old:
-            told = [s for key in named if (s := self.servers.get(key)) is not None and s.ready]
-            for s in told:
-                s.avoided = True
-            if told:
-                self.avoided += told
-                self.ready = [s for s in self.ready if not s.avoided]
+        if self.news is not None and self.news.old and (told := self.servers.keys() & set(named)):
+            self.avoided |= told
+            self.ready = [s for s in self.ready if s.info.id not in self.avoided]
 
     # Server choice and health
 
@@ -441,7 +435,7 @@
                 s.credit = self.rng.random() if self.blind else 1.0  # not in the same moment at all gateways
             s.info, s.ready = info, info.state is ServerState.READY
         self.servers = {k: s for k, s in self.servers.items() if s.ready or s.out}  # machines come and go
-        self.ready = [s for s in self.servers.values() if s.ready and not s.avoided]
+        self.ready = [s for s in self.servers.values() if s.ready and s.info.id not in self.avoided]
         if not self.bound:
             self._fleet(now)
 
--- a/dahliatack/news.py
+++ b/dahliatack/news.py
@@ -4,9 +4,7 @@
 away would keep it from answering any of them, did each ask again within the time in which changes count as
 told. So they take turns, about as many in a second as it can answer, and each tells all what it learnt. A
 limiter whose own list is old leaves alone what others say has drained or gone. It never sends by their word.
-
-Who hears of no other's call is alone, or cut off, and asks after some seconds. A limiter counts the calls it
-hears of, not limiters: two that are turned away in a fleet of thousands ask as often as two of two.
+Calls are counted, not limiters: two that are turned away in a fleet of thousands ask as often as two of two.
 """
 
 from __future__ import annotations
@@ -16,11 +14,12 @@
 from random import Random
 
 SLOT = 1000.0  # ms in which each decides once whether to call: four fit into the 6 s after which changes
-# count as told, with time left for the call and for passing on what it brings
-CALLS = 8.0  # in a slot, of all limiters: more keep a discovery of fixed capacity from answering any
-RISE = 30.0  # most that the chance of a call grows in a slot: alone among 7,200, the third slot is for sure
+# count as told, and leave time for the call and for passing on what it brings
+CALLS = 4.0  # in a slot, of all limiters: half of what a discovery of fixed capacity was seen to answer
+CROWD = 16  # calls heard of in a slot beyond which nobody need be told of more: they are far too many
+RISE = 10.0  # of the chance, after two slots without a call: the least is too little for a part of a fleet
 SPREAD = 500.0  # ms over which limiters with the same to tell draw their times
-COPIES = 2  # messages that name a server, of all limiters: one in twenty is lost at most, two are seldom
+COPIES = 3  # messages that name a server, of all limiters: each may be lost, at one in twenty
 LONGEST = 256  # bytes of a message: the operators' limit
 KEPT = 1024  # words kept while the own list is up to date: those of the last release steps
 MARK = b"\x00\x00\x00\xff"  # where a message of use names a plan that there is not: older ones pass it over
@@ -38,29 +37,38 @@
         self.asked = False  # a call is to be told, since calls are scarce
         self.calls = 0  # in this slot, of all limiters, as far as heard
         self.least = min(1.0, CALLS / limiters)
-        self.chance = self.least
+        self.chance = 0.0  # of a call in a slot; 0: not known before the first slot is over
+        self.silent = 0  # slots in a row without a call
 
     def answered(self, left: Iterable[bytes]) -> None:
         """Discovery answered, and named these as drained or gone: from now on the own list decides."""
-        if self.refused:
-            self.asked, self.calls, self.chance = True, self.calls + 1, self.least
-        self.untold |= {server: None for server in left if self.asked or self.words.get(server, 0) < COPIES}
+        self.untold |= {server: None for server in left if self.words.get(server, 0) < COPIES}
         self.old, self.refused, self.words = False, False, {}
 
     def failed(self, refused: bool) -> None:
-        """A call failed; one that was turned away has cost discovery something, and is told."""
+        """A call failed; one that was turned away begins a time of turns."""
         self.old = True
-        if refused:
-            self.calls = self.calls + 1 if self.refused else 1  # not what was heard long ago
-            self.refused = self.asked = True
+        if refused and not self.refused:
+            self.refused, self.chance, self.silent, self.calls = True, 0.0, 0, 0  # not what was heard before
+            self._call()
+
+    def _call(self) -> None:
+        """Count a call and tell of it as it is made: a busy discovery turns it away a second later."""
+        self.asked, self.calls = True, self.calls + 1
 
     def turn(self) -> bool:
         """At the end of a slot: whether to call. The chance follows the calls of all as p follows the use."""
-        calls, self.calls = self.calls, 0
-        # It rises on few calls only: all hear the same, and chance alone must not make all ask more.
-        phi = RISE if calls < CALLS / 4 else min(1.0, CALLS / calls)
-        self.chance = min(1.0, max(self.least, self.chance * phi))
-        return self.rng.random() < self.chance
+        calls, self.calls, self.silent = self.calls, 0, 0 if self.calls else self.silent + 1
+        if not self.chance:  # at first by the number of those that were turned away just now
+            self.chance = CALLS / calls if calls <= CROWD else self.least
+        elif calls > CALLS:
+            self.chance *= CALLS / calls
+        elif self.silent > 1:  # all hear the same: one thin slot must not make all ask
+            self.chance *= RISE
+        self.chance = min(1.0, max(self.least, self.chance))
+        if calling := self.rng.random() < self.chance:
+            self._call()
+        return calling
 
     def delay(self) -> float:
         """Milliseconds until it is told. Most draw a late time: few are first, and spare the rest theirs."""
@@ -68,8 +76,8 @@
 
     def message(self) -> bytes | None:
         """What is still to be told, 256 bytes at most; None where others have told it."""
-        asked, self.asked = self.asked and self.calls <= 2 * CALLS, False  # else all know that they are many
-        if not asked:  # else all that the call brought is told again, at no further message
+        asked, self.asked = self.asked and self.calls <= CROWD, False  # else all know that they are many
+        if not asked:  # else it is told once more, at no further message
             self.untold = {key: None for key in self.untold if self.words.get(key, 0) < COPIES}
         if not self.untold and not asked:
             return None
--- a/dahliatack/state.py
+++ b/dahliatack/state.py
@@ -67,7 +67,6 @@
 class Watched:
     info: api.Server
     ready: bool = True
-    avoided: bool = False  # others say that it drained or went, and the own list is old
     latency: float = 0.0
     bad: float = 0.0  # recent share of failed outcomes
     at: float = 0.0  # of the newest outcome
