Give a cold server's credit only where an even share of it is some attempts from here

Now the credit is given where an even share is two attempts or more in the cold time, as with 20 or 30 limiters; with fewer, cold servers are drawn by warmth as before. tests/test_ramp.py holds as it was.

--- a/dahliatack/brain.py
+++ b/dahliatack/brain.py
@@ -43,6 +43,7 @@
 RETRIES = 0.2  # further attempts a request: against retry storms; hurts where many servers fail at once
 HEALTH = 0.2  # weight of the newest outcome in a server's record; a quarter of it in the fleet's
 COLD_SHARE = 0.75  # of a cold server's budget that its even share of the sends may fill: room for chance
+SELDOM = 2.0  # even share of a server's cold time in attempts, below which credits only cost new connections
 AGEING = 3000.0  # life of a server's record: one that was silent for a while would stay unused long after
 OLD = 1000.0  # news of a server for longer than this is taken as aged when the next comes
 RESTS = 16  # times the first, the longest rest of a server that turns attempts away
@@ -447,7 +448,8 @@
     def _credit(self, now: float, s: Watched) -> float:
         """Attempts that a cold server may get from here: its even share by warmth, and never over one saved
         up. The least cost alone sends it all that a pressed fleet gets, since few attempts are out there."""
-        if not self.blind or (warmth := self._warmth(now, s)) >= 1:
+        seldom = self.even * self.s.cold_time < SELDOM * (now - self.born)
+        if not self.blind or seldom or (warmth := self._warmth(now, s)) >= 1:
             return 1.0  # what is out here tells of the load, or there is no need
         share = COLD_SHARE / self.blind * self.s.cold_overload * warmth * (self.even - s.credit_at)
         s.credit, s.credit_at = min(1.0, s.credit + share), self.even
--- a/dahliatack/news.py
+++ b/dahliatack/news.py
@@ -30,15 +30,13 @@
 
     def __init__(self, limiters: int, rng: Random) -> None:
         self.limiters, self.rng = limiters, rng
-        self.old = True  # the last call failed, or there was none yet: the list may be out of date
-        self.refused = False  # a call was turned away since the last answer
+        self.old, self.refused = True, False  # no call was answered of late; one was turned away since
         self.words: dict[bytes, int] = {}  # servers to leave alone, heard of since the last answer: how often
         self.untold: dict[bytes, None] = {}  # servers that drained or went
         self.asked = False  # a call is to be told, since calls are scarce
         self.calls = 0  # in this slot, of all limiters, as far as heard
         self.least = min(1.0, CALLS / limiters)
-        self.chance = 0.0  # of a call in a slot; 0: not known before the first slot is over
-        self.silent = 0  # slots in a row without a call
+        self.chance, self.silent = 0.0, 0  # of a call in a slot, 0 in the first; slots in a row without a call
 
     def answered(self, left: Iterable[bytes]) -> None:
         """Discovery answered, and named these as drained or gone: from now on the own list decides."""
