--- a/dahliatack/news.py
+++ b/dahliatack/news.py
@@ -36,7 +36,7 @@
         self.asked = False  # a call is to be told, since calls are scarce
         self.calls = 0  # in this slot, of all limiters, as far as heard
         self.least = min(1.0, CALLS / limiters)
-        self.chance, self.silent = 0.0, 0  # of a call in a slot, 0 in the first; slots in a row without a call
+        self.chance, self.silent = 0.0, 0  # of a call in a slot, 0 at first; slots in a row without a call
 
     def answered(self, left: Iterable[bytes]) -> None:
         """Discovery answered, and named these as drained or gone: from now on the own list decides."""
