Ask once a choice whether credits count, and keep one owner for a message's length

Read again: `_credit` worked out for each of up to 100 servers of a choice what is the same for all of them, and was called for all of them in small fleets, where it decides nothing; `Gossip.heard` took a sender that nothing uses since told load is weighed by age; `news.LONGEST` was `gossip.LONGEST` again.

--- a/dahliatack/brain.py
+++ b/dahliatack/brain.py
@@ -110,7 +110,7 @@
             case api.PeerMessage() if self.news and (named := self.news.heard(event.body)) is not None:
                 self._avoid(named)
             case api.PeerMessage() if self.gossip is not None:
-                self.gossip.heard(now, event.sender, event.body)
+                self.gossip.heard(now, event.body)
             case api.TimerFired(token=2) if self.gossip is not None:
                 self.telling = False
                 self.actions.append(api.Tell(self.gossip.message(self._working(), self.stay)))
@@ -448,9 +448,8 @@
     def _credit(self, now: float, s: Watched) -> float:
         """Attempts that a cold server may get from here: its even share by warmth, and never over one saved
         up. The least cost alone sends it all that a pressed fleet gets, since few attempts are out there."""
-        seldom = self.even * self.s.cold_time < SELDOM * (now - self.born)
-        if not self.blind or seldom or (warmth := self._warmth(now, s)) >= 1:
-            return 1.0  # what is out here tells of the load, or there is no need
+        if (warmth := self._warmth(now, s)) >= 1:
+            return 1.0
         share = COLD_SHARE / self.blind * self.s.cold_overload * warmth * (self.even - s.credit_at)
         s.credit, s.credit_at = min(1.0, s.credit + share), self.even
         return s.credit
@@ -466,7 +465,8 @@
         sound = [s for s in fresh if s.ejected <= 0 or (now >= s.ejected and not s.trial)]
         sound = fresh if 2 * len(sound) < len(fresh) else sound  # most look bad: none is at fault
         # Cold ones by chance, as their warmth: right in sum at any number of gateways; tries as they bear.
-        sound = [s for s in sound if self._credit(now, s) >= 1]
+        if self.blind and self.even * self.s.cold_time >= SELDOM * (now - self.born):
+            sound = [s for s in sound if self._credit(now, s) >= 1]
         best = nsmallest(max(1, int(self.s.cold_overload)), sound, lambda s: self._cost(now, s))
         return next((s for s in best if self.rng.random() < self._warmth(now, s)), None)
 
--- a/dahliatack/gossip.py
+++ b/dahliatack/gossip.py
@@ -118,7 +118,7 @@
         told = b"".join(GROUP.pack(plan, len(told)) + b"".join(told) for plan, told in groups.items())
         return HEAD.pack(min(out, 255), min(65535, round(stay))) + told
 
-    def heard(self, now: float, sender: int, body: bytes) -> None:
+    def heard(self, now: float, body: bytes) -> None:
         """Another gateway's message; one that is not of this form is passed over whole."""
         if (told := self._read(body)) is None:
             return
--- a/dahliatack/news.py
+++ b/dahliatack/news.py
@@ -13,6 +13,8 @@
 from collections.abc import Iterable
 from random import Random
 
+from .gossip import LONGEST
+
 SLOT = 1000.0  # ms in which each decides once whether to call: four fit into the 6 s after which changes
 # count as told, and leave time for the call and for passing on what it brings
 CALLS = 4.0  # in a slot, of all limiters: half of what a discovery of fixed capacity was seen to answer
@@ -20,7 +22,6 @@
 RISE = 10.0  # of the chance, after two slots without a call: the least is too little for a part of a fleet
 SPREAD = 500.0  # ms over which limiters with the same to tell draw their times
 COPIES = 3  # messages that name a server, of all limiters: each may be lost, at one in twenty
-LONGEST = 256  # bytes of a message: the operators' limit
 KEPT = 1024  # words kept while the own list is up to date: those of the last release steps
 MARK = b"\x00\x00\x00\xff"  # where a message of use names a plan that there is not: older ones pass it over
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -57,7 +57,7 @@
     while gossip.untold:
         body = gossip.message(1, 10.0)
         assert len(body) <= LONGEST
-        heard.heard(0.0, 3, body)
+        heard.heard(0.0, body)
         messages += 1
     assert messages == 3
     assert all(use.store == use.plan.burst - 1.0 for use in heard.uses.values())
@@ -128,7 +128,7 @@
     now = 0.0
     for _ in range(6):  # four times the quota
         now += gossip.sample
-        gossip.heard(now - 1.0, 3, told((0, CUSTOMER, round(8 * gossip.sample / 1000))))
+        gossip.heard(now - 1.0, told((0, CUSTOMER, round(8 * gossip.sample / 1000))))
         flooded = gossip.use(now, CUSTOMER, 0).p
     for _ in range(12):
         now += gossip.sample
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -9,7 +9,8 @@
 
 from dahliatack import interface as api
 from dahliatack.brain import Gateway
-from dahliatack.news import COPIES, LONGEST, MARK, News
+from dahliatack.gossip import LONGEST
+from dahliatack.news import COPIES, MARK, News
 
 from .driver import driver, server, settings, sid
 
--- a/tests/test_scale_process.py
+++ b/tests/test_scale_process.py
@@ -107,7 +107,7 @@
     gossip = Gossip(config.settings, Random(1))
     customers = [3, 4, 5, 2**33 - 1]
     body = message(Random(1), customers)
-    gossip.heard(0.0, 1, body)
+    gossip.heard(0.0, body)
     assert set(gossip.uses) == set(customers) and gossip.weight == 1
     assert all(use.plan is config.settings.plans[plan_of(key)] for key, use in gossip.uses.items())
     assert len(message(Random(1), range(48))) <= 256
