--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -8,6 +8,8 @@
 
 # Body of an answer with status 0: no connection to the limiter came up.
 NOT_REACHABLE = b"not reachable"
+# Likewise: the connection ended after the request was sent, and so did a second one, or it did not come up.
+NOT_ANSWERED = b"connection ended without an answer"
 
 _ids = itertools.count(0x9B1F03AA5C7E0000)
 
@@ -90,7 +92,7 @@
             try:
                 reader, writer = await self._connect(is_new=number > 0)
             except OSError:
-                return Answer(0, NOT_REACHABLE)
+                return Answer(0, NOT_ANSWERED if number else NOT_REACHABLE)
             try:
                 writer.write(request.data)
                 async with asyncio.timeout(wait_seconds):
@@ -108,7 +110,7 @@
             else:
                 self._idle.append((reader, writer))
             return answer
-        return Answer(0, b"connection ended without an answer")
+        return Answer(0, NOT_ANSWERED)
 
     async def _connect(self, *, is_new: bool) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Return a kept connection that is still open, or else, or if it has to be, a new one."""
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -23,7 +24,7 @@
     record = Record(folder)
     try:
         has_held = asyncio.run(_play(play, record))
-    except (CaseError, OSError) as error:
+    except (CaseError, OSError, asyncio.CancelledError) as error:
         record.note("could_not_run", error=repr(error))
         print(f"could not run: {error!r}")
         return COULD_NOT_RUN
@@ -34,6 +35,10 @@
 
 
 async def _play(play: Play, record: Record) -> bool:
+    task = asyncio.current_task()
+    if task is not None:
+        # Ended from outside, a case still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     has_trouble = os.environ.get("TROUBLE") != "0"
     record.note("start", trouble=has_trouble)
     return await play(record, has_trouble)
