Pass a complete HTTP response as one typed message

Cause: response_received took three of the five properties of a response as arguments; the other two had to be read from the connection, which therefore had to keep them until the next response. Change: HttpResponse holds all five. DiscoveryResponse, which held three of them, is removed. Result: no change of behaviour; tests of requests, server connections and discovery pass.

--- a/limiter/transport/discovery/discovery_connection.py
+++ b/limiter/transport/discovery/discovery_connection.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
-from limiter.transport.http_response import ResponseProtocol
+from limiter.transport.http_response import HttpResponse, ResponseProtocol
 
 MAX_LIST_BYTES = 8 * 2**20  # Longest response body; a call with a longer one fails.
 
@@ -51,15 +50,6 @@
         self.known_version = known_version
 
 
-@dataclass(frozen=True, slots=True)
-class DiscoveryResponse:
-    """A complete response from discovery."""
-
-    status: int
-    body: bytes
-    keep_alive: bool  # Whether the connection can be used for another call.
-
-
 class DiscoveryConnection(ResponseProtocol):
     """A connection to discovery, with at most one call in progress."""
 
@@ -68,9 +58,9 @@
     def __init__(self) -> None:
         """Create the protocol object for a connection that is being opened."""
         super().__init__(MAX_LIST_BYTES)
-        self._pending_response: asyncio.Future[DiscoveryResponse] | None = None
+        self._pending_response: asyncio.Future[HttpResponse] | None = None
 
-    async def get(self, target: str, host: str) -> DiscoveryResponse:
+    async def get(self, target: str, host: str) -> HttpResponse:
         """Send a GET request and wait for its response.
 
         Args:
@@ -86,10 +76,10 @@
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
         return await self._pending_response
 
-    def response_received(self, status: int, body: bytes, keep_alive: bool) -> None:
+    def response_received(self, response: HttpResponse) -> None:
         """Complete the call in progress; ignore the response if no call is in progress."""
         if self._pending_response is not None and not self._pending_response.done():
-            self._pending_response.set_result(DiscoveryResponse(status, body, keep_alive))
+            self._pending_response.set_result(response)
 
     def connection_failed(self) -> None:
         """Fail the call in progress, if any."""
--- a/limiter/transport/discovery/discovery_watch.py
+++ b/limiter/transport/discovery/discovery_watch.py
@@ -15,7 +15,6 @@
 from limiter.transport.discovery.discovery_connection import (
     DiscoveryConnection,
     DiscoveryOverloadedError,
-    DiscoveryResponse,
     UnexpectedStatusError,
     VersionRegressionError,
 )
@@ -27,6 +26,7 @@
     parse_endpoint_list,
 )
 from limiter.transport.discovery.poll_pacing import CATCH_UP_POLL_MS, FIRST_BACKOFF_SECONDS, PollPacing
+from limiter.transport.http_response import HttpResponse
 
 log = logging.getLogger(__name__)
 
@@ -222,7 +222,7 @@
         self._apply_list(received_list, is_full=received_list.is_full or known_version is None)
         return response.keep_alive
 
-    def _parse_response(self, response: DiscoveryResponse) -> EndpointList:
+    def _parse_response(self, response: HttpResponse) -> EndpointList:
         if response.status >= 500:
             raise DiscoveryOverloadedError(response.status)
         if response.status != 200:
--- a/limiter/transport/http_response.py
+++ b/limiter/transport/http_response.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import cast
 
 import httptools
@@ -23,6 +24,25 @@
     """The input is not an acceptable response. Raised in parser callbacks to make the parser stop."""
 
 
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A complete, final response.
+
+    Attributes:
+        status: Status code.
+        body: The body, which may be empty.
+        content_type: Media type of the body; empty if the response has none.
+        is_marked_not_run: Whether the response says, by `X-Not-Run: 1`, that the request was not run.
+        keep_alive: Whether the connection can carry another request.
+    """
+
+    status: int
+    body: bytes
+    content_type: bytes
+    is_marked_not_run: bool
+    keep_alive: bool
+
+
 class ResponseProtocol(asyncio.Protocol):
     """Collects each response and calls `response_received` with it.
 
@@ -32,22 +52,20 @@
     Attributes:
         transport: The connection's transport; None before it is open and after it is closed.
         is_receiving: Whether a part of a response has been received, but not all of it.
-        is_marked_not_run: Whether the response says, by `X-Not-Run: 1`, that the request was not run.
-        content_type: The response's content type; empty if it has none.
     """
 
     __slots__ = (
         "_body_bytes",
         "_body_parts",
+        "_content_type",
         "_head_bytes",
+        "_is_marked_not_run",
         "_is_response_complete",
         "_keep_alive",
         "_max_body_bytes",
         "_parser",
         "_received_bytes",
         "_status",
-        "content_type",
-        "is_marked_not_run",
         "is_receiving",
         "transport",
     )
@@ -66,14 +84,8 @@
         self._received_bytes = 0  # Bytes received since the last response.
         self._reset_response()
 
-    def response_received(self, status: int, body: bytes, keep_alive: bool) -> None:
-        """Handle a complete response.
-
-        Args:
-            status: Status code of the response.
-            body: Body of the response.
-            keep_alive: Whether the connection can carry another request.
-        """
+    def response_received(self, response: HttpResponse) -> None:
+        """Handle a complete response."""
         raise NotImplementedError
 
     def connection_failed(self) -> None:
@@ -135,17 +147,22 @@
         self._status = 0
         self._body_bytes = 0
         self._body_parts: list[bytes] = []
-        self.is_marked_not_run = False
-        self.content_type = b""
+        self._is_marked_not_run = False
+        self._content_type = b""
 
     def _finish_response(self, *, is_valid: bool) -> None:
         self._is_response_complete = False
         self._head_bytes = 0
         self._received_bytes = 0
-        body = self._body_parts[0] if len(self._body_parts) == 1 else b"".join(self._body_parts)
-        # Bytes after the response would be parsed as the response to the next request on this connection.
-        keep_alive = is_valid and self._keep_alive and not self.is_receiving
-        self.response_received(self._status, body, keep_alive)
+        response = HttpResponse(
+            status=self._status,
+            body=self._body_parts[0] if len(self._body_parts) == 1 else b"".join(self._body_parts),
+            content_type=self._content_type,
+            is_marked_not_run=self._is_marked_not_run,
+            # Bytes after the response would be parsed as the response to the next request on this connection.
+            keep_alive=is_valid and self._keep_alive and not self.is_receiving,
+        )
+        self.response_received(response)
 
     # Callbacks of the parser, which defines their names
 
@@ -161,9 +178,9 @@
             raise ResponseError  # The header belongs to a second response.
         name = name.lower()
         if name == b"x-not-run":
-            self.is_marked_not_run = value.strip() == b"1"
+            self._is_marked_not_run = value.strip() == b"1"
         elif name == b"content-type":
-            self.content_type = value
+            self._content_type = value
         elif name == b"content-length" and int(value) > self._max_body_bytes:
             raise ResponseError  # Do not wait for the body, which may arrive slowly, or not at all.
 
--- a/limiter/transport/servers/server_connection.py
+++ b/limiter/transport/servers/server_connection.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from limiter.model.events import Outcome
-from limiter.transport.http_response import ResponseProtocol
+from limiter.transport.http_response import HttpResponse, ResponseProtocol
 from limiter.transport.servers.attempt import Attempt
 from limiter.transport.sockets import has_unread_input
 
@@ -154,7 +154,7 @@
         elif self._stall_timer is None:
             self._start_stall_timer()
 
-    def response_received(self, status: int, body: bytes, keep_alive: bool) -> None:
+    def response_received(self, response: HttpResponse) -> None:
         """End the attempt with its response, and keep the connection if it can be reused."""
         attempt = self._attempt
         if attempt is None:  # A second response to the same request.
@@ -163,12 +163,11 @@
         self._attempt = None
         if self._idle_seconds_before_attempt is not None:
             self._owner.record_reuse(self._idle_seconds_before_attempt, was_reset=False)
-        outcome = self._classify_status(status)
-        if keep_alive and attempt.is_written and not self._owner.is_retired:
+        if response.keep_alive and attempt.is_written and not self._owner.is_retired:
             self.mark_idle()
         else:
             self.close_immediately()
-        attempt.end(outcome, body, self.content_type)
+        attempt.end(_classify_response(response), response.body, response.content_type)
 
     def connection_failed(self) -> None:
         """Remove the connection from the pool, and end the attempt that was in flight."""
@@ -185,13 +184,6 @@
                 self._owner.record_reuse(self._idle_seconds_before_attempt, was_reset=True)
         attempt.end_on_connection_failure(is_stale=is_stale)
 
-    def _classify_status(self, status: int) -> Outcome:
-        if status == 200:
-            return Outcome.OK
-        if status in (503, 504) and self.is_marked_not_run:
-            return Outcome.REJECTED
-        return Outcome.ERROR
-
     def _fail_connection(self) -> None:
         self.close_immediately()
         self.connection_failed()
@@ -221,3 +213,11 @@
         if self._stall_timer is not None:
             self._stall_timer.cancel()
             self._stall_timer = None
+
+
+def _classify_response(response: HttpResponse) -> Outcome:
+    if response.status == 200:
+        return Outcome.OK
+    if response.status in (503, 504) and response.is_marked_not_run:
+        return Outcome.REJECTED
+    return Outcome.ERROR
