Handle a client's next request only once it has read the last response

Change: the connection gets a write buffer without a threshold. While a response is not sent completely, nothing is read or started, and the connection is in the new state 'blocked': closed after 20 s, or after 1 s if another connection needs its descriptor.

--- a/limiter/transport/clients/client_connection.py
+++ b/limiter/transport/clients/client_connection.py
@@ -66,6 +66,12 @@
     def connection_idle(self, connection: ClientConnection) -> None:
         """Record that all requests have their responses."""
 
+    def response_blocked(self, connection: ClientConnection) -> None:
+        """Record that the kernel does not accept the whole response, because the client does not read it."""
+
+    def response_unblocked(self, connection: ClientConnection) -> None:
+        """Record that the kernel has accepted the rest of the response."""
+
     def connection_failed(self, connection: ClientConnection) -> None:
         """Record that the response to invalid input was written; close the connection after a delay."""
 
@@ -142,6 +148,9 @@
         """Store the transport of an accepted connection."""
         # The cast is needed because uvloop's transports do not inherit from asyncio's.
         self.transport = cast(asyncio.Transport, transport)
+        # With a high-water mark of 0, `pause_writing` is called if the kernel does not accept a complete
+        # response.
+        self.transport.set_write_buffer_limits(0)
         self._is_overflow_connection = not self._observer.connection_opened(self)
 
     def connection_lost(self, _: Exception | None) -> None:
@@ -166,14 +175,18 @@
             asyncio.get_running_loop().call_soon(self._end_read_deferral)
 
     def pause_writing(self) -> None:
-        """Stop reading, so that a client that does not read its responses cannot send more requests."""
+        """Stop reading and handling requests, since each response that is not read takes memory."""
         self._is_writing_paused = True
         self._update_reading()
+        self._observer.response_blocked(self)
 
     def resume_writing(self) -> None:
-        """Resume reading."""
+        """Continue with the next request, now that the client has read the response."""
         self._is_writing_paused = False
         self._update_reading()
+        self._observer.response_unblocked(self)
+        if self._is_usable and not self.has_failed:
+            self._continue_after_response()
 
     # Input
 
@@ -183,7 +196,7 @@
 
     def _update_reading(self) -> None:
         transport = self.transport
-        if transport is None or transport.is_closing():
+        if transport is None or not self._is_usable:
             return
         has_discarded_too_much = self._discarded_bytes > MAX_DISCARDED_BYTES
         if self._is_reading_deferred or self._is_writing_paused or has_discarded_too_much:
@@ -249,7 +262,7 @@
         if len(self.pipelined_requests) >= MAX_PIPELINED_REQUESTS:
             return TOO_MANY_PIPELINED_REQUESTS
         queued = self._handler.prepare(self, request)
-        if self.has_unanswered_requests:
+        if self.has_unanswered_requests or self._is_writing_paused:
             self.pipelined_requests.append(queued)
         else:
             self._start_request(queued)
@@ -267,7 +280,7 @@
             self._handler.submit(request)
 
     def _start_next_request(self) -> None:
-        if self.current_request is None and self.pipelined_requests:
+        if self.current_request is None and self.pipelined_requests and not self._is_writing_paused:
             self._start_request(self.pipelined_requests.popleft())
 
     def write_response(
@@ -291,10 +304,9 @@
         transport.write(
             encode_response(status, body, content_type, retry_after_ms, close=close_after_response)
         )
-        if self.pipelined_requests:
-            asyncio.get_running_loop().call_soon(self._start_next_request)
-        elif not close_after_response:
-            self._observer.connection_idle(self)
+        if not close_after_response:
+            if not self._is_writing_paused:
+                self._continue_after_response()
         elif self.has_failed:
             # Only the sending direction is closed now; `_discard` explains why input is read a little longer.
             transport.write_eof()
@@ -302,8 +314,22 @@
         else:
             transport.close()
 
+    def _continue_after_response(self) -> None:
+        """Start the next request, or wait for it; part of it may have been received already."""
+        if self.pipelined_requests:
+            asyncio.get_running_loop().call_soon(self._start_next_request)
+        elif self._parser is not None and self._parser.has_partial_request:
+            self._observer.request_started(self)
+        elif not self.has_unanswered_requests:
+            self._observer.connection_idle(self)
+
     # State
 
+    @property
+    def _is_usable(self) -> bool:
+        """Whether the connection is neither closed nor being closed."""
+        return self.transport is not None and not self.transport.is_closing()
+
     @property
     def has_failed(self) -> bool:
         """Whether the input was invalid, so that nothing more is parsed."""
@@ -317,11 +343,7 @@
     @property
     def has_unread_input(self) -> bool:
         """Whether the kernel holds bytes or an end of stream that the event loop has not read yet."""
-        return (
-            self.transport is not None
-            and not self.transport.is_closing()
-            and has_unread_input(self.transport)
-        )
+        return self.transport is not None and self._is_usable and has_unread_input(self.transport)
 
     def has_disconnected(self) -> bool:
         """Return whether the client has disconnected, even if the event loop has not read that yet."""
--- a/limiter/transport/clients/connection_registry.py
+++ b/limiter/transport/clients/connection_registry.py
@@ -12,6 +12,10 @@
 READ_TIMEOUT_SECONDS = 2.0
 # A connection is closed after it has been without a request for this time.
 IDLE_TIMEOUT_SECONDS = 20.0
+# A connection is closed after its client has not read a response completely for this time.
+SEND_TIMEOUT_SECONDS = 20.0
+# A connection whose client has not read a response completely for this time may be closed for another one.
+MIN_BLOCKED_SECONDS_BEFORE_SHEDDING = 1.0
 # After the response to invalid input, a connection stays open this long, so that the client can read it.
 LINGER_TIMEOUT_SECONDS = 0.75
 # While a shutdown closes idle connections, a connection that was opened less than this ago stays open, since
@@ -36,6 +40,7 @@
         reading: Connections on which a part of a request has been received, even if other requests are open.
             Their times are not strictly in order: a new connection keeps the time at which it was opened.
         idle: Connections between requests.
+        blocked: Connections whose client does not read its response. Nothing is read from them.
         lingering: Connections whose response to invalid input was written. They are closed once the client
             has had time to read it.
     """
@@ -47,6 +52,7 @@
         self.new: StateEntryTimes = {}
         self.reading: StateEntryTimes = {}
         self.idle: StateEntryTimes = {}
+        self.blocked: StateEntryTimes = {}
         self.lingering: StateEntryTimes = {}
 
     # Notifications of connections
@@ -80,6 +86,15 @@
             self._remove_from_states(connection)
             self.idle[connection] = time.monotonic()
 
+    def response_blocked(self, connection: ClientConnection) -> None:
+        """Record that the client does not read its response."""
+        self._remove_from_states(connection)
+        self.blocked[connection] = time.monotonic()
+
+    def response_unblocked(self, connection: ClientConnection) -> None:
+        """Record that the rest of the response was sent."""
+        self.blocked.pop(connection, None)
+
     def connection_failed(self, connection: ClientConnection) -> None:
         """Keep a failed connection open while its client reads the response."""
         self._remove_from_states(connection)
@@ -91,7 +106,7 @@
         self._remove_from_states(connection)
 
     def _remove_from_states(self, connection: ClientConnection) -> None:
-        for state in (self.idle, self.new, self.reading, self.lingering):
+        for state in (self.idle, self.new, self.reading, self.blocked, self.lingering):
             state.pop(connection, None)
 
     # Closing
@@ -109,7 +124,15 @@
                 if not connection.has_unread_input:
                     self._close_connection(connection)
                     return True
-        return self._fail_longest_reading()
+        return self._abort_longest_blocked() or self._fail_longest_reading()
+
+    def _abort_longest_blocked(self) -> bool:
+        """Abort the connection whose client has not read its response for the longest time, if for long."""
+        blocked_before = time.monotonic() - MIN_BLOCKED_SECONDS_BEFORE_SHEDDING
+        for connection in _connections_entered_before(self.blocked, blocked_before):
+            self._abort_connection(connection)
+            return True
+        return False
 
     def _fail_longest_reading(self) -> bool:
         """Fail the connection that has been receiving its request for the longest time.
@@ -130,9 +153,10 @@
         self._close_connections_without_input(self.idle, now - IDLE_TIMEOUT_SECONDS)
         for connection in _connections_entered_before(self.reading, now - READ_TIMEOUT_SECONDS):
             connection.fail(REQUEST_TIMEOUT)
+        for connection in _connections_entered_before(self.blocked, now - SEND_TIMEOUT_SECONDS):
+            self._abort_connection(connection)
         for connection in _connections_entered_before(self.lingering, now - LINGER_TIMEOUT_SECONDS):
-            self.connection_closed(connection)
-            connection.abort()
+            self._abort_connection(connection)
 
     def close_idle_connections(self) -> None:
         """Close all idle connections, and new ones whose first request did not arrive in time."""
@@ -155,6 +179,10 @@
         self.connection_closed(connection)
         connection.close()
 
+    def _abort_connection(self, connection: ClientConnection) -> None:
+        self.connection_closed(connection)
+        connection.abort()
+
 
 def _connections_entered_before(
     state: StateEntryTimes, entered_before_seconds: float
--- a/tests/transport/test_paused_process.py
+++ b/tests/transport/test_paused_process.py
@@ -217,6 +217,11 @@
             lambda: not proxy.requests.by_number or len(server.received_requests) > 1,
             "end of the first request",
         )
+        # The transport calls this once the client has read the first response; the next request starts then.
+        connection.resume_writing()
+        assert connection.transport is not None
+        connection.transport.pause_reading()
+        await wait_until(lambda: not connection.pipelined_requests, "start of the second request")
         await wait_until(lambda: not proxy.requests.list_unanswered() or len(server.received_requests) > 1)
         assert len(server.received_requests) == 1
         # Another request uses the same id when the connection of the second request is reported as closed.
