Limit the memory of the requests of all clients together

Requests of 96 KiB on 550 connections take 52 MB while incomplete, and 16 more of them pipelined on each take 800 MB; the platform kills a limiter at 192 MB. Change: RequestMemory counts incomplete requests, open requests and unread responses; the limit is a quarter of limits.memory_mb, which the limiter did not read. Beyond it, the longest incomplete requests of 4 KiB or more get 503 with Retry-After, and a complete request for which that makes no room is rejected in the same way before it is forwarded. A request that was released is marked, so that its bytes are removed once.

--- a/limiter/configuration/config.py
+++ b/limiter/configuration/config.py
@@ -54,6 +54,7 @@
         gossip: Addresses for gossip between limiters; None if the limiter does not use gossip.
         seed: Seed of the random number generator of the decision policy.
         max_descriptors: Maximum number of file descriptors that the limiter may use.
+        max_memory_bytes: Memory of the process beyond which the platform kills it.
         configured_endpoints: The endpoint list that was known when the configuration was written, in the JSON
             form of discovery and not yet validated; None if the configuration has none.
         settings: Settings of the decision policy.
@@ -73,6 +74,7 @@
     gossip: GossipConfig | None
     seed: int
     max_descriptors: int
+    max_memory_bytes: int
     configured_endpoints: object
     settings: Settings
     class_names: tuple[str, ...]
--- a/limiter/configuration/config_parser.py
+++ b/limiter/configuration/config_parser.py
@@ -19,6 +19,11 @@
 MIN_DESCRIPTORS = 64
 # `limits.sockets` must be below this number, since a file descriptor is a C int.
 DESCRIPTOR_LIMIT = 2**31
+# Memory of the limiter, in MiB, if the configuration has no `limits.memory_mb`.
+DEFAULT_MEMORY_MB = 192
+# `limits.memory_mb` must be below this number.
+MEMORY_LIMIT_MB = 2**31
+BYTES_PER_MB = 2**20
 DEFAULT_DIAL_TIMEOUT_MS = 250.0
 DEFAULT_KEEPALIVE_MS = 30_000.0
 NOT_A_LIST_OF_OBJECTS = "must be a list of JSON objects"
@@ -49,6 +54,7 @@
         gossip=gossip,
         seed=_parse_seed(document.get("seed")),
         max_descriptors=_parse_max_descriptors(document.get("limits")),
+        max_memory_bytes=_parse_max_memory_bytes(document.get("limits")),
         configured_endpoints=document.get("known"),
         settings=replace(settings, may_gossip=gossip is not None),
         class_names=_parse_unique_names(raw_settings, "classes"),
@@ -148,6 +154,15 @@
     return int(value)
 
 
+def _parse_max_memory_bytes(limits: object) -> int:
+    value = limits.get("memory_mb", DEFAULT_MEMORY_MB) if isinstance(limits, dict) else DEFAULT_MEMORY_MB
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 < value < MEMORY_LIMIT_MB:
+        problem = f"{value!r} is not a number of MiB above 0 and below 2**31"
+        raise ConfigError(key="limits.memory_mb", problem=problem)
+    return int(value * BYTES_PER_MB)
+
+
 def _check_plan_list(raw_settings: Mapping[str, object]) -> None:
     """Reject an object with the key `count` in place of the list of plans.
 
--- a/limiter/transport/clients/client_connection.py
+++ b/limiter/transport/clients/client_connection.py
@@ -30,6 +30,9 @@
 # Receives the input of all connections: each of them parses its input before the next one is read.
 _read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
 
+# The response to a request for which there is not enough memory. It was not forwarded.
+MEMORY_EXHAUSTED = LocalResponse(503, b"too many requests in memory\n", OVERLOAD_RETRY_AFTER_MS)
+
 # A request that waits for its turn on a connection, or its response if it needs no server.
 QueuedRequest = ProxiedRequest | LocalResponse
 
@@ -60,6 +63,12 @@
     def request_started(self, connection: ClientConnection) -> None:
         """Record that a part of a request has been received; called for each part."""
 
+    def held_bytes_changed(self, byte_count: int) -> None:
+        """Record by how many bytes an incomplete request or an unread response has grown or shrunk."""
+
+    def make_room(self, byte_count: int) -> bool:
+        """Make room in memory for a complete request; return False if it has to be rejected."""
+
     def request_completed(self, connection: ClientConnection) -> None:
         """Record that a request has been received completely."""
 
@@ -110,6 +119,7 @@
     __slots__ = (
         "_discarded_bytes",
         "_handler",
+        "_held_bytes",
         "_is_overflow_connection",
         "_is_reading_deferred",
         "_is_writing_paused",
@@ -139,6 +149,7 @@
         # The connection exceeds the limit on connections, so its requests are rejected immediately.
         self._is_overflow_connection = False
         self._discarded_bytes = 0
+        self._held_bytes = 0
         self._is_reading_deferred = False  # Until the next iteration of the event loop.
         self._is_writing_paused = False  # The client does not read its responses.
 
@@ -159,6 +170,7 @@
         # The transport refers to this connection. Breaking the cycle frees both without garbage collection.
         self.transport = None
         self._close_parser()
+        self._update_held_bytes()
         self._observer.connection_closed(self)
         self._discard_unanswered_requests()
 
@@ -178,12 +190,14 @@
         """Stop reading and handling requests, since each response that is not read takes memory."""
         self._is_writing_paused = True
         self._update_reading()
+        self._update_held_bytes()
         self._observer.response_blocked(self)
 
     def resume_writing(self) -> None:
         """Continue with the next request, now that the client has read the response."""
         self._is_writing_paused = False
         self._update_reading()
+        self._update_held_bytes()
         self._observer.response_unblocked(self)
         if self._is_usable and not self.has_failed:
             self._continue_after_response()
@@ -210,6 +224,7 @@
             self._discard(data)
             return
         error = parser.feed(data)
+        self._update_held_bytes()
         if error is not None:
             self.fail(error)
         elif parser.has_partial_request:
@@ -243,6 +258,7 @@
         if self._parser is not None:
             self._parser.close()
             self._parser = None
+            self._update_held_bytes()
 
     def _discard_unanswered_requests(self) -> None:
         unanswered = [self.current_request, *self.pipelined_requests]
@@ -257,11 +273,16 @@
     def _request_received(self, request: ParsedRequest) -> LocalResponse | None:
         """Start or queue a request; return the error response if too many requests are queued."""
         self._observer.request_completed(self)
+        self._update_held_bytes()
         if not request.keep_alive:
             self._state = ConnectionState.CLOSING
         if len(self.pipelined_requests) >= MAX_PIPELINED_REQUESTS:
             return TOO_MANY_PIPELINED_REQUESTS
-        queued = self._handler.prepare(self, request)
+        queued: QueuedRequest
+        if self._observer.make_room(request.stored_bytes):
+            queued = self._handler.prepare(self, request)
+        else:
+            queued = MEMORY_EXHAUSTED
         if self.has_unanswered_requests or self._is_writing_paused:
             self.pipelined_requests.append(queued)
         else:
@@ -330,6 +351,19 @@
         """Whether the connection is neither closed nor being closed."""
         return self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of the incomplete request and of the unread response that the connection holds."""
+        return self._held_bytes
+
+    def _update_held_bytes(self) -> None:
+        held_bytes = self._parser.received_bytes if self._parser is not None else 0
+        if self._is_writing_paused and self.transport is not None:
+            held_bytes += self.transport.get_write_buffer_size()
+        if held_bytes != self._held_bytes:
+            self._observer.held_bytes_changed(held_bytes - self._held_bytes)
+            self._held_bytes = held_bytes
+
     @property
     def has_failed(self) -> bool:
         """Whether the input was invalid, so that nothing more is parsed."""
--- a/limiter/transport/clients/connection_registry.py
+++ b/limiter/transport/clients/connection_registry.py
@@ -4,8 +4,14 @@
 
 import time
 
-from limiter.transport.clients.client_connection import OVERLOAD_RETRY_AFTER_MS, ClientConnection
+from limiter.transport.clients.client_connection import (
+    MEMORY_EXHAUSTED,
+    OVERLOAD_RETRY_AFTER_MS,
+    TOO_MANY_PIPELINED_REQUESTS,
+    ClientConnection,
+)
 from limiter.transport.clients.client_response import LocalResponse
+from limiter.transport.request_memory import RequestMemory
 
 # Maximum time until a request is received completely, counted from the opening of its connection, or from its
 # first byte if the connection carried other requests before.
@@ -16,6 +22,9 @@
 SEND_TIMEOUT_SECONDS = 20.0
 # A connection whose client has not read a response completely for this time may be closed for another one.
 MIN_BLOCKED_SECONDS_BEFORE_SHEDDING = 1.0
+# A shorter incomplete request is not failed to make room in memory: that would make little room, and most
+# requests are shorter.
+MIN_HELD_BYTES_BEFORE_SHEDDING = 4096
 # After the response to invalid input, a connection stays open this long, so that the client can read it.
 LINGER_TIMEOUT_SECONDS = 0.75
 # While a shutdown closes idle connections, a connection that was opened less than this ago stays open, since
@@ -45,9 +54,15 @@
             has had time to read it.
     """
 
-    def __init__(self, max_connections: int) -> None:
-        """Set the limit to `max_connections`; connections beyond it are overflow connections."""
+    def __init__(self, max_connections: int, memory: RequestMemory) -> None:
+        """Create a registry without connections.
+
+        Args:
+            max_connections: Limit on the connections; those beyond it are overflow connections.
+            memory: Counts the bytes that are held for all clients.
+        """
         self._max_connections = max_connections
+        self._memory = memory
         self.connections: set[ClientConnection] = set()
         self.new: StateEntryTimes = {}
         self.reading: StateEntryTimes = {}
@@ -70,11 +85,15 @@
 
     def request_started(self, connection: ClientConnection) -> None:
         """Record that a part of a request has been received."""
-        if connection in self.reading:
-            return
-        opened_at = self.new.get(connection)
-        self._remove_from_states(connection)
-        self.reading[connection] = time.monotonic() if opened_at is None else opened_at
+        if connection not in self.reading:
+            opened_at = self.new.get(connection)
+            self._remove_from_states(connection)
+            self.reading[connection] = time.monotonic() if opened_at is None else opened_at
+        self.make_room(0)
+
+    def held_bytes_changed(self, byte_count: int) -> None:
+        """Record by how many bytes an incomplete request or an unread response has grown or shrunk."""
+        self._memory.add(byte_count)
 
     def request_completed(self, connection: ClientConnection) -> None:
         """Record that a request has been received completely."""
@@ -111,6 +130,23 @@
 
     # Closing
 
+    def make_room(self, byte_count: int) -> bool:
+        """Make room in memory for further bytes: fail the incomplete requests that take most of it.
+
+        Returns:
+            Whether there is room; False if the complete requests and the unread responses take too much.
+        """
+        if self._memory.has_room_for(byte_count):
+            return True
+        for connection in sorted(self.reading, key=lambda each: each.held_bytes, reverse=True):
+            if connection.held_bytes < MIN_HELD_BYTES_BEFORE_SHEDDING:
+                break
+            in_use = connection.has_unanswered_requests
+            connection.fail(TOO_MANY_PIPELINED_REQUESTS if in_use else MEMORY_EXHAUSTED)
+            if self._memory.has_room_for(byte_count):
+                return True
+        return False
+
     def shed_connection(self) -> bool:
         """Close or fail the connection that is least in use; return False if none can be shed."""
         # New connections without input are shed before idle ones, since otherwise many new connections would
--- a/limiter/transport/clients/listener.py
+++ b/limiter/transport/clients/listener.py
@@ -41,7 +41,7 @@
             MIN_OVERFLOW_CONNECTIONS, config.compute_descriptor_budget(OVERFLOW_DESCRIPTOR_FRACTION)
         )
         self._max_accepted_connections = max_connections + max_overflow_connections
-        self.registry = ConnectionRegistry(max_connections)
+        self.registry = ConnectionRegistry(max_connections, proxy.request_memory)
         self._handler = ProxyRequestHandler(config, proxy, clock)
         self._setup_tasks: set[asyncio.Task[None]] = set()
         self.socket = _open_listening_socket(config.listen_address)
--- a/limiter/transport/clients/request_handler.py
+++ b/limiter/transport/clients/request_handler.py
@@ -64,12 +64,13 @@
         except BadRequestError as error:
             return LocalResponse(400, b"%b\n" % str(error).encode())
         client_request_id = request.headers[b"x-request-id"]
-        if not self._requests.claim_client_request_id(client_request_id):
-            # Forwarding it could run the same request twice, or run it as another client's request.
-            return DUPLICATE_REQUEST_ID
-        return ProxiedRequest(
+        proxied_request = ProxiedRequest(
             connection, event, client_request_id, _encode_head(request), bytes(request.body)
         )
+        if not self._requests.claim(proxied_request):
+            # Forwarding it could run the same request twice, or run it as another client's request.
+            return DUPLICATE_REQUEST_ID
+        return proxied_request
 
     def submit(self, request: ProxiedRequest) -> None:
         """Submit a prepared request to the proxy."""
--- a/limiter/transport/clients/request_parser.py
+++ b/limiter/transport/clients/request_parser.py
@@ -68,6 +68,11 @@
         """Append a part of the request target."""
         self.target += part
 
+    @property
+    def stored_bytes(self) -> int:
+        """The length of the parts that are forwarded."""
+        return len(self.target) + len(self.forwarded_headers) + len(self.body)
+
     @property
     def is_body_too_large(self) -> bool:
         """Whether the body exceeds MAX_BODY_BYTES."""
@@ -91,9 +96,9 @@
         "_is_head_complete",
         "_on_request",
         "_parser",
-        "_received_bytes",
         "_request",
         "has_partial_request",
+        "received_bytes",
     )
 
     # Set only while a request is partly received. This saves memory, since most connections are idle.
@@ -105,14 +110,15 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._error_response: LocalResponse | None = None
         self._is_head_complete = False
-        self._received_bytes = 0  # Bytes received of the request that is not complete yet.
+        # Bytes received of the request that is not complete yet; it takes no more memory than that.
+        self.received_bytes = 0
         self.has_partial_request = False  # A part of a request has been received, but not all of it.
 
     def feed(self, data: bytes) -> LocalResponse | None:
         """Parse the received bytes; return an error response if they are not acceptable, else None."""
         if self._parser is None:
             return None
-        self._received_bytes += len(data)
+        self.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -123,9 +129,9 @@
         """Return an error response if the input exceeds a limit, else None."""
         if self.has_partial_request and self._request.is_body_too_large:
             return BODY_TOO_LARGE
-        if not self._is_head_complete and self._received_bytes > MAX_HEAD_BYTES:
+        if not self._is_head_complete and self.received_bytes > MAX_HEAD_BYTES:
             return HEAD_TOO_LARGE
-        if self._received_bytes > MAX_REQUEST_BYTES:
+        if self.received_bytes > MAX_REQUEST_BYTES:
             return REQUEST_TOO_LARGE
         return None
 
@@ -181,7 +187,7 @@
         """Pass the complete request to the callback."""
         request = self._request
         del self._request
-        self._received_bytes = 0
+        self.received_bytes = 0
         self.has_partial_request = False
         if self._error_response is not None or self._parser is None or self._on_request is None:
             return
--- a/limiter/transport/driver/proxied_request.py
+++ b/limiter/transport/driver/proxied_request.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from limiter.model.events import NOT_EXECUTED_OUTCOMES, ClientRequest, Outcome
+from limiter.transport.request_memory import RequestMemory
 from limiter.transport.servers.attempt import Attempt
 
 
@@ -43,6 +44,7 @@
         "event",
         "head",
         "is_finished",
+        "is_released",
         "may_have_run",
     )
 
@@ -75,8 +77,14 @@
         self.attempts_in_flight: list[Attempt] = []
         self.may_have_run = False  # The outcome of an attempt says that a server may have run it.
         self.is_finished = False
+        self.is_released = False  # The request table holds nothing for it any more.
         self._deadline_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """The length of the parts that are kept for further attempts."""
+        return len(self.head) + len(self.body)
+
     # End of the request
 
     def finish(self) -> ResponseSink | None:
@@ -98,6 +106,10 @@
             client.close()
         return self.is_finished
 
+    def mark_released(self) -> None:
+        """Record that the request table holds nothing for the request any more."""
+        self.is_released = True
+
     # Deadline
 
     def remaining_ms(self, now_ms: float) -> float:
@@ -137,12 +149,21 @@
 
 
 class RequestTable:
-    """Holds the requests that were submitted and not released, and the client request ids in use."""
+    """Holds the requests that were submitted and not released, and the client request ids in use.
+
+    Attributes:
+        by_number: The submitted requests.
+        client_request_ids: Client request ids of all requests that were read and are not released.
+    """
 
-    def __init__(self) -> None:
-        """Create an empty table."""
+    def __init__(self, memory: RequestMemory) -> None:
+        """Create an empty table.
+
+        Args:
+            memory: Counts the bytes of the requests that were read and are not released.
+        """
+        self._memory = memory
         self.by_number: dict[int, ProxiedRequest] = {}
-        # Client request ids of all requests that were read and are not released, submitted or not.
         self.client_request_ids: set[bytes] = set()
         self._numbers = itertools.count()
 
@@ -150,11 +171,12 @@
         """Return a number for a new request."""
         return next(self._numbers)
 
-    def claim_client_request_id(self, client_request_id: bytes) -> bool:
-        """Reserve the id of a request that was read; return False if another request uses it."""
-        if client_request_id in self.client_request_ids:
+    def claim(self, request: ProxiedRequest) -> bool:
+        """Reserve the id and the memory of a request that was read; return False if another uses the id."""
+        if request.client_request_id in self.client_request_ids:
             return False
-        self.client_request_ids.add(client_request_id)
+        self.client_request_ids.add(request.client_request_id)
+        self._memory.add(request.held_bytes)
         return True
 
     def add(self, request: ProxiedRequest) -> None:
@@ -187,8 +209,10 @@
 
     def release_if_done(self, request: ProxiedRequest) -> None:
         """Release a finished request without attempts in flight, so that no entry or timer outlives it."""
-        if not request.is_finished or request.attempts_in_flight:
+        if request.is_released or not request.is_finished or request.attempts_in_flight:
             return
+        request.mark_released()
         request.cancel_deadline_timer()
+        self._memory.remove(request.held_bytes)
         self.by_number.pop(request.event.id, None)
         self.client_request_ids.discard(request.client_request_id)
--- a/limiter/transport/driver/proxy.py
+++ b/limiter/transport/driver/proxy.py
@@ -40,8 +40,10 @@
 from limiter.transport.discovery.discovery_watch import DiscoveryWatch, DiscoveryWatchOptions
 from limiter.transport.discovery.endpoint_list import ListedEndpoint, NameNumbering
 from limiter.transport.discovery.poll_pacing import PollPacing
+from limiter.transport.driver.proxied_request import RequestTable
 from limiter.transport.driver.request_forwarder import RequestForwarder
 from limiter.transport.gossip.gossip_socket import GossipSocket
+from limiter.transport.request_memory import RequestMemory
 from limiter.transport.servers.server_pool import ServerPool
 
 log = logging.getLogger(__name__)
@@ -50,6 +52,9 @@
 SWEEP_INTERVAL_SECONDS = 1.0
 # Fraction of the file descriptors that are not reserved, for connections to servers.
 SERVER_DESCRIPTOR_FRACTION = 0.4
+# Fraction of the memory for the requests that are received or open, and for responses that clients have not
+# read. The rest is for the program, and for responses that are being received from servers.
+REQUEST_MEMORY_FRACTION = 0.25
 
 
 class Proxy:
@@ -79,8 +84,11 @@
             keepalive_ms=config.keepalive_ms,
             max_connections=config.compute_descriptor_budget(SERVER_DESCRIPTOR_FRACTION),
         )
-        self.forwarder = RequestForwarder(clock, config.settings, self.server_pool, self._handle_event)
-        self.requests = self.forwarder.requests
+        self.request_memory = RequestMemory(int(config.max_memory_bytes * REQUEST_MEMORY_FRACTION))
+        self.requests = RequestTable(self.request_memory)
+        self.forwarder = RequestForwarder(
+            clock, config.settings, self.server_pool, self.requests, self._handle_event
+        )
         self.counter = self._make_counter_client(config)
         self._gossip_socket = self._make_gossip_socket(config)
         # The process starts the watch later, after it has read the endpoint list of the configuration.
--- a/limiter/transport/driver/request_forwarder.py
+++ b/limiter/transport/driver/request_forwarder.py
@@ -33,6 +33,7 @@
         clock: Clock,
         settings: Settings,
         server_pool: ServerPool,
+        requests: RequestTable,
         handle_event: Callable[[Event], None],
     ) -> None:
         """Create a forwarder without requests.
@@ -41,6 +42,7 @@
             clock: The clock of the events.
             settings: Provides the request classes and the maximum number of attempts per request.
             server_pool: Sends the attempts.
+            requests: Holds the requests.
             handle_event: Passes an event to the policy and executes the resulting actions.
         """
         self._loop = asyncio.get_running_loop()
@@ -48,7 +50,7 @@
         self._max_attempts = settings.max_attempts
         self._request_classes = settings.request_classes
         self._server_pool = server_pool
-        self.requests = RequestTable()
+        self.requests = requests
         self._handle_event = handle_event
 
     def execute_action(self, action: RequestAction) -> None:
@@ -82,11 +84,10 @@
 
         Attempts whose write has begun continue: a server may run them, and the policy needs their outcomes.
         """
+        if request.is_released:
+            return
         is_submitted = self.requests.is_submitted(request)
         was_finished = request.is_finished
-        if was_finished and not is_submitted:
-            # The request was released earlier, and another request may use its client request id by now.
-            return
         request.finish()
         for attempt in request.attempts_in_flight:
             attempt.cancel_unsent(Outcome.CANCELLED)
--- a/tests/support/in_process_limiter.py
+++ b/tests/support/in_process_limiter.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 from limiter.configuration.config_parser import parse_config
 from limiter.model.events import Endpoint, EndpointState
@@ -19,11 +20,14 @@
 
 
 @asynccontextmanager
-async def in_process_limiter(*servers: FakeServer) -> AsyncIterator[tuple[Proxy, Listener]]:
+async def in_process_limiter(
+    *servers: FakeServer, **config_changes: Any
+) -> AsyncIterator[tuple[Proxy, Listener]]:
     """Run a limiter in the running event loop; it reads from its sockets only while the test awaits.
 
     Args:
         servers: the servers in its endpoint list; they are started here.
+        config_changes: top-level keys of the configuration that are added or replaced.
     """
     endpoints = []
     for server in servers:
@@ -31,7 +35,7 @@
         endpoint = Endpoint(server.endpoint_id.encode(), EndpointState.READY)
         endpoints.append(ListedEndpoint(endpoint, ("127.0.0.1", server.port)))
     clock = Clock()
-    config = parse_config(make_raw_config(seed="1"))
+    config = parse_config(make_raw_config(seed="1", **config_changes))
     proxy = Proxy(config, clock)
     proxy.apply_endpoint_list(endpoints, True)
     listener = Listener(config, proxy, clock)
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -9,6 +9,10 @@
 
 from limiter.transport.clients.request_parser import MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestParser
 from limiter.transport.http_response import HttpResponse, ResponseProtocol
+from tests.support.client import build_request
+from tests.support.fake_server import FakeServer, HeldResponses, respond_with
+from tests.support.in_process_limiter import RawClient, in_process_limiter
+from tests.support.waiting import wait_until
 
 # A limiter with 550 client and 400 server connections, and messages of 96 KiB on each, stays below 192 MB of
 # memory only if a message takes less than twice its length.
@@ -94,3 +98,65 @@
         connection.responses.clear()
 
     assert measure_held_bytes(receive_and_discard, data) < BODY_BYTES / 10
+
+
+# The limiter may hold requests of 1 MiB, a quarter of its memory.
+LIMITS = {"sockets": 256, "memory_mb": 4}
+MAX_REQUEST_BYTES = 2**20
+# Here two long requests, but not a short one besides.
+LIMITS_OF_TWO_REQUESTS = {"sockets": 256, "memory_mb": 0.5}
+SHORT_BODY = b"x" * 3000
+LONG_BODY = b"x" * BODY_BYTES
+
+
+def build_incomplete_request(request_id: str) -> bytes:
+    """Return a request whose body lacks the last byte."""
+    headers = {"Content-Length": str(BODY_BYTES)}
+    return build_request("submit", request_id=request_id, headers=headers) + LONG_BODY[:-1]
+
+
+async def test_incomplete_requests_of_all_clients_together_take_limited_memory() -> None:
+    """Without a limit, requests on 550 connections take 52 MB, and 800 MB if 16 are pipelined on each."""
+    async with in_process_limiter(FakeServer("s-0"), limits=LIMITS) as (proxy, listener):
+        slow_client = RawClient(listener)
+        request = build_request(request_id="slow")
+        slow_client.send(request[:40])
+        bad_clients = [RawClient(listener) for _ in range(20)]
+        for number, bad_client in enumerate(bad_clients):
+            bad_client.send(build_incomplete_request(f"bad-{number}"))
+        failed_count = 20 - MAX_REQUEST_BYTES // BODY_BYTES
+        await wait_until(
+            lambda: len(listener.registry.lingering) >= failed_count, "failure of the longest requests"
+        )
+        assert proxy.request_memory.used_bytes <= MAX_REQUEST_BYTES
+        failed = [connection for connection in listener.registry.connections if connection.has_failed]
+        assert len(failed) < 20
+        # The short request of another client is not affected.
+        slow_client.send(request[40:])
+        assert (await slow_client.read_response()).body == b"from s-0"
+        for bad_client in bad_clients:
+            bad_client.socket.close()
+        await wait_until(lambda: not proxy.request_memory.used_bytes, "release of the memory")
+
+
+async def test_complete_requests_of_all_clients_together_take_limited_memory() -> None:
+    """A request for which there is no room is rejected at once and not forwarded, so a retry is safe."""
+    server = FakeServer("s-0")
+    held = server.responder = HeldResponses()
+    async with in_process_limiter(server, limits=LIMITS_OF_TWO_REQUESTS) as (proxy, listener):
+        clients = [RawClient(listener) for _ in range(2)]
+        for number, client in enumerate(clients):
+            client.send(build_request("submit", request_id=str(number), body=LONG_BODY))
+        await wait_until(lambda: len(held.writers) == 2, "both requests are forwarded")
+        rejected_client = RawClient(listener)
+        rejected_client.send(build_request("submit", request_id="last", body=SHORT_BODY))
+        response = await rejected_client.read_response()
+        assert response.status == 503
+        assert float(response.headers["retry-after"]) > 0
+        assert len(held.writers) == 2
+        held.release()
+        server.responder = respond_with(200)
+        assert [(await client.read_response()).status for client in clients] == [200, 200]
+        assert proxy.request_memory.used_bytes == 0
+        rejected_client.send(build_request("submit", request_id="last", body=SHORT_BODY))
+        assert (await rejected_client.read_response()).status == 200
