Hold the time limits of an attempt when its request is written

Cause: the policy compared the window with the time of its decision, and SendAttempt carried no limit for the write. Between the two lie a dial of up to limits.dialTimeout and a process that may be held up. In the same way the time told to the server and the deadline of the request were those before the dial. Change: SendAttempt.write_before is the end of the window less 150 ms, for which a process may be held up. The pool checks it, and the attempt's own end, right before it writes, on new and on idle connections; a dial ends at that time. The attempt then ends unsent, and the client gets its failure. X-Deadline-Ms is computed at the write. An attempt times out early only if its retry would still be in the window. The policy driver now checks write_before of each retry; the test of the window has 1849 and 1851 ms in place of 1999 and 2001, and keeps 2001: a stricter limit.

--- a/limiter/model/actions.py
+++ b/limiter/model/actions.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from limiter.model.events import EndpointId
@@ -20,11 +21,14 @@
         request_id: Number of the request.
         endpoint_id: Id of the server to send the request to.
         timeout: Milliseconds after which the attempt times out; 0 if it lasts until the client gives up.
+        write_before: Time from which on the request must not be written, since the servers may have forgotten
+            its idempotency key; infinite if there is no such time. The attempt then ends unsent.
     """
 
     request_id: int
     endpoint_id: EndpointId
     timeout: float
+    write_before: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/limiter/policy/attempt_dispatch.py
+++ b/limiter/policy/attempt_dispatch.py
@@ -3,6 +3,7 @@
 Types are defined in limiter/model. Times and durations are in milliseconds.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -42,6 +43,10 @@
 EARLY_TIMEOUT_OBJECTIVE_FRACTION = 0.5
 MIN_EARLY_TIMEOUT_MEAN_LATENCIES = 4
 
+# The last retry of a request with an idempotency key is sent this long before the servers may forget the key.
+# The process may be held up for this long between reading the clock and writing.
+DEDUP_WINDOW_MARGIN_MS = 150.0
+
 
 class RetrySafety(Enum):
     """What a further attempt of a request could cause."""
@@ -117,22 +122,26 @@
         server = self.server_selector.choose(now, request)
         if server is None:
             return False
+        write_before = _compute_dedup_end(request)
         self.server_selector.slow_start.record_attempt(server)
         server.start_attempt(request.request.id, request.attempts.sent_count, now)
         request.start_attempt(now, server.endpoint)
         self.concurrency_limit.record_attempt_started()
         self.usage_gossip.schedule()
-        timeout = self._compute_attempt_timeout(request, time_left)
-        self.context.actions.append(SendAttempt(request.request.id, server.endpoint.id, timeout))
+        timeout = self._compute_attempt_timeout(now, request, time_left)
+        self.context.actions.append(
+            SendAttempt(request.request.id, server.endpoint.id, timeout, write_before)
+        )
         return True
 
     def _has_remaining_attempt(self, request: OpenRequest) -> bool:
         return request.attempts.sent_count < self.context.settings.max_attempts
 
-    def _compute_attempt_timeout(self, request: OpenRequest, time_left: float) -> float:
+    def _compute_attempt_timeout(self, now: float, request: OpenRequest, time_left: float) -> float:
         """Return the timeout of the attempt that was just started.
 
         Args:
+            now: The current time.
             request: The request.
             time_left: Time until the response deadline of the request.
 
@@ -151,7 +160,10 @@
         min_early_timeout = (
             MIN_EARLY_TIMEOUT_MEAN_LATENCIES * self.server_selector.outlier_detector.mean_latency
         )
-        return min(time_left, max(objective_timeout, min_early_timeout))
+        early_timeout = max(objective_timeout, min_early_timeout)
+        if now + early_timeout >= _compute_dedup_end(request):
+            return time_left  # It would be too late for a retry.
+        return min(time_left, early_timeout)
 
     def handle_attempt_ended(self, now: float, ended: AttemptEnded) -> None:
         """Record the outcome of an attempt, then retry or finish its request."""
@@ -196,7 +208,7 @@
         if first is None or request_class.idempotency is Idempotency.IDEMPOTENT:
             return RetrySafety.SAFE
         has_key = request_class.idempotency is Idempotency.IDEMPOTENCY_KEY
-        if has_key and now < first.sent_at + request_class.dedup_window:
+        if has_key and now < _compute_dedup_end(request):
             return RetrySafety.DEDUPLICATED
         return RetrySafety.UNSAFE
 
@@ -229,3 +241,15 @@
         request = self.open_requests.get(started.request_id)
         if request is not None:
             request.attempts.mark_streaming()
+
+
+def _compute_dedup_end(request: OpenRequest) -> float:
+    """Return the time from which on a retry of a request might not be recognized by its idempotency key.
+
+    It is infinite if no attempt may have been executed, and for requests without a key.
+    """
+    first = request.attempts.first_attempt
+    request_class = request.request_class
+    if first is None or request_class.idempotency is not Idempotency.IDEMPOTENCY_KEY:
+        return math.inf
+    return first.sent_at + request_class.dedup_window - DEDUP_WINDOW_MARGIN_MS
--- a/limiter/transport/driver/request_forwarder.py
+++ b/limiter/transport/driver/request_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from functools import partial
 from typing import assert_never
@@ -13,7 +14,7 @@
 from limiter.policy.throttle import UPDATE_INTERVAL_MS
 from limiter.transport.clock import Clock
 from limiter.transport.driver.proxied_request import ProxiedRequest, RequestTable
-from limiter.transport.servers.attempt import Attempt
+from limiter.transport.servers.attempt import Attempt, AttemptRequest
 from limiter.transport.servers.server_pool import ServerPool
 
 # A timer that fires early by no more than this is treated as due. An attempt whose timeout ends no more than
@@ -134,13 +135,19 @@
 
     def _send_attempt(self, request: ProxiedRequest, action: SendAttempt) -> None:
         """Start an attempt: send the request to a server."""
-        remaining_ms = request.remaining_ms(self._clock())
+        now_seconds = time.monotonic()
+        now_ms = self._clock()
+        remaining_ms = request.remaining_ms(now_ms)
         timeout_ms = min(action.timeout, remaining_ms) if action.timeout else remaining_ms
-        data = b"%bX-Deadline-Ms: %d\r\n\r\n%b" % (request.head, max(1, int(timeout_ms)), request.body)
         attempt = Attempt(
             request.attempt_count,
             action.endpoint_id,
-            data,
+            AttemptRequest(
+                request.head,
+                request.body,
+                expires_at_seconds=now_seconds + timeout_ms / 1000,
+                write_before_seconds=now_seconds + (action.write_before - now_ms) / 1000,
+            ),
             partial(self._attempt_ended, request),
             request.finish_if_client_disconnected,
         )
--- a/limiter/transport/servers/attempt.py
+++ b/limiter/transport/servers/attempt.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from limiter.model.events import Outcome
@@ -20,6 +22,33 @@
         """Close the connection without ending the attempt."""
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptRequest:
+    """The request of an attempt, and the monotonic times in seconds that limit when it may be written.
+
+    Attributes:
+        head: Request line and headers, without X-Deadline-Ms and the blank line.
+        body: The body, which may be empty.
+        expires_at_seconds: Time until which the limiter waits for the response.
+        write_before_seconds: Further limit on the time of writing; infinite if there is none.
+    """
+
+    head: bytes
+    body: bytes
+    expires_at_seconds: float
+    write_before_seconds: float = math.inf
+
+    def remaining_write_seconds(self) -> float:
+        """Return the time until the request must not be written any more; not positive from then on."""
+        return min(self.expires_at_seconds, self.write_before_seconds) - time.monotonic()
+
+    def encode(self) -> tuple[bytes, ...]:
+        """Return the parts of the HTTP request, with the time for which the limiter waits from now on."""
+        deadline_ms = max(1, int((self.expires_at_seconds - time.monotonic()) * 1000))
+        head = b"%bX-Deadline-Ms: %d\r\n\r\n" % (self.head, deadline_ms)
+        return (head, self.body) if self.body else (head,)
+
+
 class Attempt:
     """A request sent to one server. It is written at most once and ended exactly once.
 
@@ -36,7 +65,7 @@
         "is_connection_stale",
         "is_written",
         "number",
-        "request_bytes",
+        "request",
         "server_id",
         "started_at_seconds",
     )
@@ -45,7 +74,7 @@
         self,
         number: int,
         server_id: bytes,
-        request_bytes: bytes,
+        request: AttemptRequest,
         on_ended: AttemptEndedCallback,
         is_client_disconnected: Callable[[], bool] | None = None,
     ) -> None:
@@ -54,14 +83,14 @@
         Args:
             number: Index of the attempt among all attempts of its request.
             server_id: Id of the server.
-            request_bytes: The complete HTTP request.
+            request: The request, which is encoded when it is written.
             on_ended: Called once, with the attempt, its outcome, and the body and content type of the
                 response.
             is_client_disconnected: Called after a dial; if it returns True, the request is not written.
         """
         self.number = number
         self.server_id = server_id
-        self.request_bytes = request_bytes
+        self.request = request
         self.started_at_seconds = time.monotonic()
         # Whether the kernel has accepted the last byte of the request. From then on the server may have
         # executed the request.
--- a/limiter/transport/servers/server_connection.py
+++ b/limiter/transport/servers/server_connection.py
@@ -102,7 +102,7 @@
         attempt.record_write_start(self)
         if self._idle_since_seconds is not None:
             self._idle_seconds_before_attempt = attempt.started_at_seconds - self._idle_since_seconds
-        transport.write(attempt.request_bytes)
+        transport.writelines(attempt.request.encode())
         # After a failed write the transport is closing and its buffer is empty, although the request was not
         # written completely.
         if not transport.is_closing() and transport.get_write_buffer_size() == 0:
--- a/limiter/transport/servers/server_pool.py
+++ b/limiter/transport/servers/server_pool.py
@@ -92,9 +92,12 @@
         """
         if timeout_seconds is not None:
             attempt.start_timeout(timeout_seconds)
+        if attempt.request.remaining_write_seconds() <= 0:
+            self._end_in_next_iteration(attempt, Outcome.REQUEST_ENDED)
+            return
         server = self.servers.get(attempt.server_id)
         if server is None:
-            self._fail_in_next_iteration(attempt)
+            self._end_in_next_iteration(attempt, Outcome.CONNECT_FAILED)
             return
         connection = self._take_reusable(server)
         if connection is not None:
@@ -102,11 +105,11 @@
         elif self._make_room_for_dial():
             self._start_dial(server, attempt)
         else:
-            self._fail_in_next_iteration(attempt)
+            self._end_in_next_iteration(attempt, Outcome.CONNECT_FAILED)
 
-    def _fail_in_next_iteration(self, attempt: Attempt) -> None:
-        """Fail an unsent attempt in the next event loop iteration, once the caller has returned."""
-        asyncio.get_running_loop().call_soon(attempt.end, Outcome.CONNECT_FAILED)
+    def _end_in_next_iteration(self, attempt: Attempt, outcome: Outcome) -> None:
+        """End an unsent attempt in the next event loop iteration, once the caller has returned."""
+        asyncio.get_running_loop().call_soon(attempt.end, outcome)
 
     def _take_reusable(self, server: PooledServer) -> ServerConnection | None:
         """Remove and return the most recently used reusable connection; close the unusable ones before it."""
@@ -155,8 +158,8 @@
         attempt.record_dial_end()
 
     async def _dial(self, server: PooledServer, attempt: Attempt) -> None:
-        """Open a connection and start the attempt, unless it has ended or its client has disconnected."""
-        connection = await self._open_connection(server)
+        """Open a connection and start the attempt, unless that is too late or its client has disconnected."""
+        connection = await self._open_connection(server, attempt.request.remaining_write_seconds())
         if connection is None or connection.transport is None or attempt.has_ended:
             if connection is not None:
                 connection.close_immediately()
@@ -167,15 +170,18 @@
         if attempt.is_client_disconnected():
             connection.mark_idle()
             attempt.end(Outcome.CANCELLED)
-            return
-        connection.start_attempt(attempt)
+        elif attempt.request.remaining_write_seconds() <= 0:
+            connection.mark_idle()
+            attempt.end(Outcome.REQUEST_ENDED)
+        else:
+            connection.start_attempt(attempt)
 
-    async def _open_connection(self, server: PooledServer) -> ServerConnection | None:
-        """Open a connection, or return None if that fails or times out."""
+    async def _open_connection(self, server: PooledServer, max_seconds: float) -> ServerConnection | None:
+        """Open a connection, or return None if that fails, times out or takes longer than `max_seconds`."""
         loop = asyncio.get_running_loop()
         try:
             # An unreachable host never responds, and the operating system's own timeout is minutes.
-            async with asyncio.timeout(self._dial_timeout_seconds):
+            async with asyncio.timeout(min(self._dial_timeout_seconds, max_seconds)):
                 _, connection = await loop.create_connection(
                     lambda: ServerConnection(server), *server.address
                 )
--- a/tests/policy/test_invariants.py
+++ b/tests/policy/test_invariants.py
@@ -228,9 +228,12 @@
     assert driver.final_answers[1] == "FailRequest"
 
 
-@pytest.mark.parametrize(("ended_at", "attempts"), [(1999.0, 2), (2001.0, 1)])
+@pytest.mark.parametrize(("ended_at", "attempts"), [(1849.0, 2), (1851.0, 1), (2001.0, 1)])
 def test_the_dedup_window_limits_retries_if_late_answers_have_weight(ended_at: float, attempts: int) -> None:
-    """The window ends at 2000 ms; on both sides of it a retry has time left and a late answer has weight."""
+    """The window ends at 2000 ms, and the process may be held up for 150 ms before it writes a retry.
+
+    On both sides of the limit a retry has time left and a late answer has weight.
+    """
     request_class = RequestClass(
         1000.0,
         6000.0,
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -5,6 +5,7 @@
 import pytest
 
 from limiter.model.events import Outcome
+from limiter.model.settings import Idempotency, RequestClass
 from tests.support.policy_driver import make_driver, make_endpoint_id
 from tests.support.policy_scenarios import PLANS_WITHOUT_QUOTA
 
@@ -46,3 +47,18 @@
             driver.end_attempt(driver.list_attempts_in_flight()[0], Outcome.CONNECT_FAILED, 1.0)
     attempts = sum(len(attempts) for attempts in driver.sent_attempts.values())
     assert 100 < attempts <= 125
+
+
+@pytest.mark.parametrize(
+    ("window", "timeout"),
+    [(2000.0, 500.0), (600.0, 1000.0)],
+    ids=["retry possible", "too late for a retry"],
+)
+def test_an_attempt_times_out_early_only_if_its_retry_would_be_within_the_window(
+    window: float, timeout: float
+) -> None:
+    """If a retry would come after the window, the limiter waits for the response for as long as it can."""
+    request_class = RequestClass(1000.0, 3000.0, Idempotency.IDEMPOTENCY_KEY, dedup_window=window)
+    driver = make_driver(plans=PLANS_WITHOUT_QUOTA, request_classes=(request_class,))
+    driver.send_request(1)
+    assert driver.sent_attempts[1][0].timeout == timeout
--- a/tests/support/policy_driver.py
+++ b/tests/support/policy_driver.py
@@ -43,6 +43,8 @@
 from limiter.policy.server_table import Server
 
 # Defined here independently of the model's set, so that a change there does not change the check.
+# Longest time for which a limiter may be held up between reading its clock and writing.
+MAX_HOLD_UP_MS = 150.0
 NOT_EXECUTED_OUTCOMES = {Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.REQUEST_ENDED}
 TIME_TOLERANCE_MS = 1e-6
 
@@ -221,19 +223,16 @@
         )
         may_have_run = [sent for sent in earlier_attempts if sent.may_have_run]
         if may_have_run:
-            self._check_retry(
-                request, first_attempt=may_have_run[0], retry_server=self.endpoints[action.endpoint_id]
-            )
+            self._check_retry(request, may_have_run[0], action)
         if not earlier_attempts:
             self.admissions.append((self.now, request.customer, request.units))
         earlier_attempts.append(
             SentAttempt(request_id, len(earlier_attempts), action.endpoint_id, self.now, timeout)
         )
 
-    def _check_retry(
-        self, request: ClientRequest, first_attempt: SentAttempt, retry_server: Endpoint
-    ) -> None:
-        """Check that a request may be retried at `retry_server` although `first_attempt` may have run it."""
+    def _check_retry(self, request: ClientRequest, first_attempt: SentAttempt, retry: SendAttempt) -> None:
+        """Check that a request may be sent again although `first_attempt` may have run it."""
+        retry_server, write_before = self.endpoints[retry.endpoint_id], retry.write_before
         request_class = self.settings.request_classes[request.request_class]
         idempotency, scope = request_class.idempotency, request_class.dedup_scope
         assert idempotency is not Idempotency.NOT_IDEMPOTENT, (
@@ -241,8 +240,9 @@
         )
         if idempotency is Idempotency.IDEMPOTENCY_KEY:
             first_server = self.endpoints[first_attempt.endpoint_id]
-            assert self.now <= first_attempt.sent_at + request_class.dedup_window, (
-                "retried after the deduplication window"
+            window_end = first_attempt.sent_at + request_class.dedup_window
+            assert self.now < write_before <= window_end - MAX_HOLD_UP_MS, (
+                "retried when the deduplication window may be over before the request is written"
             )
             assert scope is not DedupScope.ZONE or first_server.zone == retry_server.zone, (
                 "retried outside the deduplication zone"
--- a/tests/transport/test_attempt.py
+++ b/tests/transport/test_attempt.py
@@ -6,6 +6,7 @@
 
 from limiter.model.events import Outcome
 from limiter.transport.servers.attempt import Attempt
+from tests.support.attempt_request import make_attempt_request
 
 
 class AttemptRecorder:
@@ -21,7 +22,7 @@
         """Create an attempt that has not been sent yet."""
         self.outcomes: list[Outcome] = []
         self.abandon_count = 0
-        self.attempt = Attempt(0, b"s-0", b"GET / HTTP/1.1\r\n\r\n", self._on_ended)
+        self.attempt = Attempt(0, b"s-0", make_attempt_request(), self._on_ended)
 
     def abandon_attempt(self) -> None:
         """Count a call by which the attempt closes its connection."""
@@ -82,5 +83,5 @@
 
 def test_client_of_an_attempt_without_a_disconnection_callback_counts_as_connected() -> None:
     assert not AttemptRecorder().attempt.is_client_disconnected()
-    attempt = Attempt(0, b"s-0", b"", lambda *_: None, lambda: True)
+    attempt = Attempt(0, b"s-0", make_attempt_request(), lambda *_: None, lambda: True)
     assert attempt.is_client_disconnected()
--- a/tests/transport/test_server_connection_races.py
+++ b/tests/transport/test_server_connection_races.py
@@ -9,9 +9,10 @@
 
 from limiter.model.events import Outcome
 from limiter.transport.servers import server_pool
-from limiter.transport.servers.attempt import Attempt
+from limiter.transport.servers.attempt import Attempt, AttemptRequest
 from limiter.transport.servers.server_pool import ServerPool
 from limiter.transport.sockets import has_unread_input
+from tests.support.attempt_request import make_attempt_request
 from tests.support.client import build_request
 from tests.support.fake_server import FakeServer, ReceivedRequest, Responder, never_respond, respond_with
 from tests.support.in_process_limiter import RawClient, in_process_limiter
@@ -43,7 +44,7 @@
     await respond_with(200, b"%d" % request.connection_number)(request, writer)
 
 
-async def send_attempt(pool: ServerPool, request: bytes) -> tuple[Outcome, bytes]:
+async def send_attempt(pool: ServerPool, request: AttemptRequest) -> tuple[Outcome, bytes]:
     """Send an attempt to server s-0; return its outcome and the body of the response."""
     results: list[tuple[Outcome, bytes]] = []
 
@@ -76,7 +77,7 @@
             responder.writers[0].get_extra_info("socket").shutdown(socket.SHUT_WR)
         assert connection.transport is not None
         assert has_unread_input(connection.transport)
-        result = await send_attempt(proxy.server_pool, build_request("order", request_id="2"))
+        result = await send_attempt(proxy.server_pool, make_attempt_request(request_id="2"))
         assert result == (Outcome.OK, b"2")
 
 
--- a/tests/transport/test_server_pool.py
+++ b/tests/transport/test_server_pool.py
@@ -13,7 +13,7 @@
 from limiter.transport.servers.attempt import Attempt
 from limiter.transport.servers.reuse_history import ReuseHistory
 from limiter.transport.servers.server_pool import MIN_IDLE_BEFORE_REUSE_SECONDS, ServerPool
-from tests.support.client import build_request
+from tests.support.attempt_request import make_attempt_request
 from tests.support.fake_server import FakeServer, reset_connection, respond_with
 from tests.support.waiting import wait_until
 
@@ -37,7 +37,7 @@
 
     def send(self) -> None:
         """Send the next attempt."""
-        request = build_request(request_id=str(self.sent_count))
+        request = make_attempt_request(request_id=str(self.sent_count))
         attempt = Attempt(self.sent_count, self.server.endpoint_id.encode(), request, self._on_ended)
         self.sent_count += 1
         self.pool.send(attempt, ATTEMPT_TIMEOUT_SECONDS)
