Require all acknowledged changes of process-small again, also from late peers

The machine's runner used to stop processes that make very many system calls for up to 0.5 s; it no longer does, so the allowance is removed and the bound is that of before: all changes of a phase but one, and at most one more. The lateness stays in the message.

--- a/tests/scale/test_process_experiments.py
+++ b/tests/scale/test_process_experiments.py
@@ -44,12 +44,9 @@
     phase_name = line["phase"]
     assert line["datagrams_in"] == (0 if phase_name == "idle" else 10)
     assert line["changes"] == (6 if phase_name in ("changes", "load") else 0)
-    # Emulated peers that run late make the last changes of a phase at once, right before it ends.
-    late_s = (line["stand_ins_late_p99_ms"] or 0.0) / 1000
-    late_changes = round(late_s * line["changes"] / line["seconds"])
-    # The last change of a phase, and those made at once with it, may be acknowledged after the phase.
-    min_changes_heard = line["changes"] - 1 - late_changes
-    assert min_changes_heard <= line["changes_heard"] <= line["changes"] + 1, f"peers were {late_s} s late"
+    # The last change of a phase may be acknowledged after the phase, and counts in the next one then.
+    peers_late = f"emulated peers were {line['stand_ins_late_p99_ms']} ms late"
+    assert line["changes"] - 1 <= line["changes_heard"] <= line["changes"] + 1, peers_late
     assert line["requests"] == (10 if phase_name == "load" else 0)
     assert line["lost"] == 0
     assert sum(line["answers"].values()) == line["requests"]
