Remember at most 65,536 customers

Clients that send each of 2,000 requests a second for another customer would take 96 MB. Change: beyond the limit the customers idle for longest are forgotten, except busy ones.

--- a/limiter/policy/customer.py
+++ b/limiter/policy/customer.py
@@ -14,6 +14,10 @@
 from limiter.policy.sampled_usage import SampledUsage
 from limiter.policy.usage_report import UsageReport
 
+# Maximum number of customers that are remembered. A record takes about 800 bytes, so clients that send each
+# request for another customer would otherwise take all memory within the idle timeout.
+MAX_CUSTOMERS = 65_536
+
 
 @dataclass(slots=True, eq=False)
 class Customer:
@@ -104,7 +108,7 @@
 
 
 class CustomerTable:
-    """All customers with recent requests."""
+    """The customers with recent requests, at most MAX_CUSTOMERS besides the busy ones."""
 
     def __init__(self, idle_timeout: float) -> None:
         """Create an empty table.
@@ -121,16 +125,19 @@
         return self.records.pop(key, None)
 
     def insert(self, customer: Customer, now: float) -> None:
-        """Insert the record of a customer that sends a request now, and evict idle records."""
+        """Insert the record of a customer that sends a request now, and evict records that are not needed."""
         self.records[customer.key] = customer
         customer.mark_seen(now)
         longest_idle = next(iter(self.records.values()))
-        if now - longest_idle.last_seen_at > self._idle_timeout:
-            self._evict_idle(now)
+        if self._may_evict(longest_idle, now):
+            self._evict(now)
+
+    def _may_evict(self, longest_idle: Customer, now: float) -> bool:
+        is_idle = now - longest_idle.last_seen_at > self._idle_timeout
+        return is_idle or len(self.records) > MAX_CUSTOMERS
 
-    def _evict_idle(self, now: float) -> None:
-        idle_records = pop_idle(self.records, lambda each: now - each.last_seen_at > self._idle_timeout)
-        for key, customer in idle_records:
+    def _evict(self, now: float) -> None:
+        for key, customer in pop_idle(self.records, lambda longest_idle: self._may_evict(longest_idle, now)):
             if customer.is_busy:
-                # The record is moved to the end, so that the idle records after it can be evicted.
+                # The record is moved to the end, so that the records after it can be evicted.
                 self.records[key] = customer
