Move the memory soak to its own package, without the time-out of the transport tests

A run by hand with SOAK_SECONDS=240 failed by the 60 s that an asynchronous test of tests/transport may take, not by a limit of its own. What it plays and checks is the same.

--- a/tests/transport/test_memory_soak.py
+++ b/tests/soak/test_memory.py
@@ -16,8 +16,7 @@
 
 from tests.support.client import Connection, build_request
 from tests.support.fake_server import ReceivedRequest, respond_with
-from tests.support.harness import LimiterHarness, limiter_with
-from tests.support.limiter_settings import make_raw_settings
+from tests.support.harness import LimiterHarness, running_limiter
 
 SEED = 20261204
 SOAK_SECONDS = float(os.environ.get("SOAK_SECONDS", "20"))
@@ -29,7 +28,9 @@
 HEADERS_OF_LONG_BODY = {"Content-Length": str(len(LONG_BODY))}
 # A hostile client stays for up to this long, and reads what it is sent, or nothing.
 MAX_STAY_SECONDS = 4.0
-READ_INTERVAL_SECONDS = 0.25
+# Pause between two requests of the usual client, and between two measurements of the memory.
+PAUSE_SECONDS = 0.025
+DEADLINE_SECONDS = 3.0
 
 HostileInput = Callable[[str], bytes]
 
@@ -122,23 +123,21 @@
     latencies.append(time.monotonic() - started)
     assert response.status in (200, 429, 503)
     assert response.status != 200 or response.body == f"usual-{number}".encode()
-    await asyncio.sleep(READ_INTERVAL_SECONDS / 10)
+    await asyncio.sleep(PAUSE_SECONDS)
 
 
-@limiter_with(servers=4, settings=make_raw_settings())
-async def test_hostile_clients_do_not_take_the_limiter_over_its_memory(harness: LimiterHarness) -> None:
-    """200 of them took it over 192 MB within half a second, and requests of other clients were lost."""
+async def soak(harness: LimiterHarness) -> tuple[float, list[float]]:
+    """Play hostile clients and a usual one; return the most memory in MB and the usual client's latencies."""
     for server in harness.servers:
         server.responder = respond_to_class
     chance = random.Random(SEED)
     end = time.monotonic() + SOAK_SECONDS
-    most_mb = 0.0
+    memory_mb: list[float] = []
     latencies: list[float] = []
 
     async def record_memory(_: int) -> None:
-        nonlocal most_mb
-        most_mb = max(most_mb, read_memory_mb(harness.process.pid))
-        await asyncio.sleep(READ_INTERVAL_SECONDS / 10)
+        memory_mb.append(read_memory_mb(harness.process.pid))
+        await asyncio.sleep(PAUSE_SECONDS)
 
     usual_client = await harness.connect()
     hostile = [
@@ -150,6 +149,13 @@
         repeat_until(end, lambda number: send_usual_request(usual_client, number, latencies)),
         *hostile,
     )
+    return max(memory_mb), latencies
+
+
+async def test_hostile_clients_do_not_take_the_limiter_over_its_memory() -> None:
+    """200 of them took it over 192 MB within half a second, and requests of other clients were lost."""
+    async with running_limiter(servers=4) as harness:
+        most_mb, latencies = await soak(harness)
     print(f"memory {most_mb:.0f} MB, {len(latencies)} requests, slowest {max(latencies):.2f} s")
     assert most_mb < MAX_MEMORY_MB
-    assert max(latencies) < 3.0
+    assert max(latencies) < DEADLINE_SECONDS
