Reuse a connection to a server only 30 ms after its last response

Cause: a second copy of a response that comes 10 to 12 ms late arrives after the next request was written, since a connection was reused after 10 ms. Unread bytes are looked for before the write, but those on the way are not seen. Change: 30 ms. The next request goes on another connection meanwhile; at 24 requests a second for a server, that is less than one connection more.

--- a/limiter/transport/servers/server_pool.py
+++ b/limiter/transport/servers/server_pool.py
@@ -13,9 +13,9 @@
 from limiter.transport.servers.pooled_server import ConnectionTable, PooledServer
 from limiter.transport.servers.server_connection import ServerConnection
 
-# Shortest idle time before a connection is reused. Surplus bytes that a server sends right after a response
-# have been read by then.
-MIN_IDLE_BEFORE_REUSE_SECONDS = 0.01
+# Shortest idle time before a connection is reused. A second response that a server sends some milliseconds
+# after the first has arrived by then. Once the next request is written, it would be taken for its response.
+MIN_IDLE_BEFORE_REUSE_SECONDS = 0.03
 # Longest idle time after which a connection is reused, as a fraction of the servers' keepalive time. A server
 # closes idle connections after its keepalive time at the latest, and resets requests written after that.
 MAX_IDLE_FRACTION_OF_KEEPALIVE = 0.5
--- a/tests/transport/test_server_pool.py
+++ b/tests/transport/test_server_pool.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import errno
+import time
 from collections.abc import AsyncIterator
+from types import SimpleNamespace
 
 import pytest
 
@@ -88,6 +90,24 @@
     assert bool(driver.pool.connections.idle) == is_kept
 
 
+@pytest.mark.parametrize(
+    ("idle_seconds", "connections"), [(0.02, 2), (0.04, 1)], ids=["may receive a second response", "reusable"]
+)
+async def test_connection_is_reused_only_after_a_late_second_response_would_have_arrived(
+    idle_seconds: float, connections: int, driver: PoolDriver, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A second response that came 10 to 12 ms late was served to the client of the next request."""
+    driver.send()
+    await wait_until(lambda: driver.pool.connections.idle)
+    [connection] = driver.pool.connections.idle
+    reused_at_seconds = time.monotonic() - connection.idle_seconds(time.monotonic()) + idle_seconds
+    clock = SimpleNamespace(monotonic=lambda: reused_at_seconds)
+    monkeypatch.setattr(server_pool_module, "time", clock)
+    driver.send()
+    await driver.wait_for_end()
+    assert driver.server.accepted_connections == connections
+
+
 async def test_only_a_reused_connection_that_is_reset_before_a_response_is_reported_as_stale(
     driver: PoolDriver,
 ) -> None:
