Forward responses without a length that end with a proper end of the stream

Cause: ResponseProtocol had no eof_received, so that the end of the connection was a failure also where it ends the body. Change: the end of the stream completes a response whose head is complete and names neither a length nor a transfer coding. A reset does not, and neither does the end before a stated length, before the last chunk or in a head. Evidence: the four cases of the new test fail before; five cases of incomplete responses get 502 before and after.

--- a/limiter/transport/http_response.py
+++ b/limiter/transport/http_response.py
@@ -57,7 +57,9 @@
     __slots__ = (
         "_body",
         "_content_type",
+        "_has_length",
         "_head_bytes",
+        "_is_head_complete",
         "_is_marked_not_run",
         "_is_response_complete",
         "_keep_alive",
@@ -122,6 +124,18 @@
         elif not is_valid:
             self.connection_failed()
 
+    def eof_received(self) -> None:
+        """Report a response without a length, which ends with the stream. A reset does not end it."""
+        parser = self._parser
+        if parser is None or not self.is_receiving or not self._is_head_complete or self._has_length:
+            return
+        try:
+            self._complete_response(parser)
+        except ResponseError:
+            return  # The connection is lost next, which reports its failure.
+        self._keep_alive = False
+        self._finish_response(is_valid=True)
+
     def connection_lost(self, _exc: Exception | None) -> None:
         """Release the closed connection, and report its failure."""
         self._parser = None
@@ -144,6 +158,8 @@
 
     def _reset_response(self) -> None:
         self._status = 0
+        self._is_head_complete = False
+        self._has_length = False  # The head says where the body ends: by its length or by chunks.
         # One buffer: an object for each of many short chunks would take many times their length.
         self._body = bytearray()
         self._is_marked_not_run = False
@@ -181,8 +197,16 @@
             self._is_marked_not_run = value.strip() == b"1"
         elif name == b"content-type":
             self._content_type = value
-        elif name == b"content-length" and int(value) > self._max_body_bytes:
-            raise ResponseError  # Do not wait for the body, which may arrive slowly, or not at all.
+        elif name == b"transfer-encoding":
+            self._has_length = True
+        elif name == b"content-length":
+            self._has_length = True
+            if int(value) > self._max_body_bytes:
+                raise ResponseError  # Do not wait for the body, which may arrive slowly, or not at all.
+
+    def on_headers_complete(self) -> None:
+        """Record the end of the head; it may belong to an interim response."""
+        self._is_head_complete = True
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
@@ -195,6 +219,9 @@
         parser = self._parser
         if parser is None or self._is_response_complete:
             raise ResponseError  # Input is no longer parsed, or this is a second response.
+        self._complete_response(parser)
+
+    def _complete_response(self, parser: httptools.HttpResponseParser) -> None:
         self.is_receiving = False
         if parser.get_http_version() not in SUPPORTED_HTTP_VERSIONS:
             raise ResponseError
--- a/tests/transport/test_requests.py
+++ b/tests/transport/test_requests.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 import time
 from collections.abc import Iterator
 
@@ -200,6 +201,60 @@
     )
 
 
+def respond_without_length(data: bytes, *, is_reset: bool) -> Responder:
+    """Return a responder that writes a response, then closes or resets the connection."""
+
+    async def respond(_received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        await writer.drain()
+        if is_reset:
+            linger_without_waiting = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger_without_waiting
+            )
+        writer.close()
+
+    return respond
+
+
+@pytest.mark.parametrize(
+    ("head", "body"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"whole"),
+        (b"HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n\r\n", b"whole"),
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", b""),
+        (b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", b"whole"),
+    ],
+    ids=["HTTP/1.1", "HTTP/1.0", "empty", "after an interim response"],
+)
+async def test_response_without_a_length_ends_with_its_connection(
+    harness: LimiterHarness, head: bytes, body: bytes
+) -> None:
+    """Such responses were taken for resets, and orders that had run got 502."""
+    harness.servers[0].responder = respond_without_length(head + body, is_reset=False)
+    response = await harness.send_request(build_request("order"))
+    assert (response.status, response.body) == (200, body)
+
+
+@pytest.mark.parametrize(
+    ("data", "is_reset"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\npart", True),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", False),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", False),
+        (b"HTTP/1.1 200 OK\r\nContent-Type: text", False),
+        (b"HTTP/1.1 103 Early Hints\r\n\r\n", False),
+    ],
+    ids=["reset", "length not reached", "last chunk missing", "incomplete head", "interim response alone"],
+)
+async def test_incomplete_response_fails_when_its_connection_ends(
+    harness: LimiterHarness, data: bytes, is_reset: bool
+) -> None:
+    """The client must not be served with a part of a response."""
+    harness.servers[0].responder = respond_without_length(data, is_reset=is_reset)
+    assert (await harness.send_request(build_request("order"))).status == 502
+
+
 FIRST_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
 SECOND_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
 
