Wait longer for a shared discovery's response after a call that failed

Cause: each call was given up after 1.5 s, and so was the one that asked again for what was missed. Change: a call that does not follow a successful one is given up after 2.5 s. After an outage a change is still known within 6 s: 2.5 s for a call that was lost, 1.2 s of backoff, 1.5 s for the response (tested). Local agents keep their 0.15 s, since a call that they get while discovery is down is never answered.

--- a/limiter/transport/discovery/discovery_watch.py
+++ b/limiter/transport/discovery/discovery_watch.py
@@ -208,13 +208,15 @@
         known_version = self._list_version
         target = LIST_PATH
         long_poll_ms = 0
+        pacing = self._pacing
+        grace_seconds = pacing.grace_seconds if self._is_list_current else pacing.catch_up_grace_seconds
         if known_version is not None:
-            long_poll_ms = self._pacing.long_poll_ms if self._is_list_current else CATCH_UP_POLL_MS
+            long_poll_ms = pacing.long_poll_ms if self._is_list_current else CATCH_UP_POLL_MS
             target = f"{LIST_PATH}?since={known_version}&timeout_ms={long_poll_ms}"
         host, port = self._address
         # The connection to an unreachable host stays open without delivering anything. Without this timeout
         # the list would never be updated again.
-        async with asyncio.timeout(long_poll_ms / 1000 + self._pacing.grace_seconds):
+        async with asyncio.timeout(long_poll_ms / 1000 + grace_seconds):
             response = await connection.get(target, f"{host}:{port}")
         received_list = self._parse_response(response)
         if known_version is not None and received_list.version < known_version and not received_list.is_full:
--- a/limiter/transport/discovery/poll_pacing.py
+++ b/limiter/transport/discovery/poll_pacing.py
@@ -15,6 +15,10 @@
 # Time after the end of the long poll after which a call has failed. It is below 2 s, the time after which a
 # change is considered known to every limiter.
 RESPONSE_GRACE_SECONDS = 1.5
+# The same for a call that does not follow a successful one. It is longer, so that the list is received from a
+# discovery whose responses take longer than RESPONSE_GRACE_SECONDS. Together with the backoff before the next
+# call and the time of its response, it is below 6 s, within which a change has to be known after an outage.
+CATCH_UP_RESPONSE_GRACE_SECONDS = 2.5
 # Longest backoff after a failed call to a shared discovery.
 MAX_BACKOFF_SECONDS = 1.0
 
@@ -38,6 +42,7 @@
     Attributes:
         long_poll_ms: How long discovery holds a call while there is no change.
         grace_seconds: Time after the end of the long poll after which a call has failed; also limits a dial.
+        catch_up_grace_seconds: The same for a call that does not follow a successful one.
         max_backoff_seconds: Longest backoff after a failed call.
         uses_local_agent: Whether an agent on this host is called. Its calls cost nothing, a full list costs
             no more than the changes, and no other limiter uses it.
@@ -45,6 +50,7 @@
 
     long_poll_ms: int
     grace_seconds: float
+    catch_up_grace_seconds: float
     max_backoff_seconds: float
     uses_local_agent: bool
 
@@ -60,9 +66,16 @@
             return cls(
                 LOCAL_AGENT_LONG_POLL_MS,
                 LOCAL_AGENT_RESPONSE_GRACE_SECONDS,
+                LOCAL_AGENT_RESPONSE_GRACE_SECONDS,
                 FIRST_BACKOFF_SECONDS,
                 uses_local_agent=True,
             )
         min_poll_for_call_rate_ms = round(1000 * limiter_count / MAX_FLEET_CALLS_PER_SECOND)
         long_poll_ms = min(MAX_LONG_POLL_MS, max(MIN_LONG_POLL_MS, min_poll_for_call_rate_ms))
-        return cls(long_poll_ms, RESPONSE_GRACE_SECONDS, MAX_BACKOFF_SECONDS, uses_local_agent=False)
+        return cls(
+            long_poll_ms,
+            RESPONSE_GRACE_SECONDS,
+            CATCH_UP_RESPONSE_GRACE_SECONDS,
+            MAX_BACKOFF_SECONDS,
+            uses_local_agent=False,
+        )
--- a/tests/support/fake_discovery.py
+++ b/tests/support/fake_discovery.py
@@ -37,6 +37,7 @@
         is_responding: whether it sends responses; while this is False, all calls wait.
         body_override: bytes that are sent in place of each list; None to send the lists.
         status: the HTTP status of its responses.
+        response_delay_seconds: how late each response is.
         ends_next_watch: if True, the open watch, or else the next one, gets a response at once, which resets
             this to False.
     """
@@ -52,6 +53,7 @@
         self.is_responding = True
         self.body_override: bytes | None = None
         self.status = 200
+        self.response_delay_seconds = 0.0
         self.ends_next_watch = False
 
     def publish(self, *entries: dict[str, Any], full_list: bool = False) -> None:
@@ -75,6 +77,7 @@
             known_version = _parse_query_number(target, "since")
             await self._wait_for_change(known_version, _parse_query_number(target, "timeout_ms") or 0)
             body = self.body_override or json.dumps(self._make_list_document(known_version)).encode()
+            await asyncio.sleep(self.response_delay_seconds)
             writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (self.status, len(body), body))
             self.response_times.append(time.monotonic())
 
--- a/tests/transport/test_discovery_watch.py
+++ b/tests/transport/test_discovery_watch.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 
 import pytest
 
+from limiter.transport.backoff import JITTER_FRACTION
 from limiter.transport.discovery.discovery_watch import DiscoveryWatch, DiscoveryWatchOptions
 from limiter.transport.discovery.endpoint_list import NameNumbering, parse_endpoint_list
 from limiter.transport.discovery.poll_pacing import PollPacing
@@ -21,6 +23,8 @@
 from tests.support.limiter_settings import make_configured_endpoint_list, make_raw_settings
 from tests.support.waiting import wait_until
 
+# Grace of a test for calls that follow a successful one, to which responses come too late.
+SHORT_GRACE_SECONDS = 0.02
 REQUEST_COUNT = 12  # Enough requests for each server in use to receive at least one.
 
 
@@ -238,6 +242,38 @@
     assert {pacing.grace_seconds for pacing in pacings} == {1.5}
 
 
+def test_list_is_known_in_time_after_an_outage_of_a_shared_discovery() -> None:
+    """A change is considered known 6 s after discovery has it and can be reached.
+
+    A call may have been lost just before the end of the outage. The next one is made after the longest
+    backoff, lengthened by its jitter, and its response may take as long as that of a usual call.
+    """
+    pacing = PollPacing.for_fleet(200, uses_local_agent=False)
+    backoff_seconds = pacing.max_backoff_seconds * (1 + JITTER_FRACTION)
+    assert pacing.catch_up_grace_seconds + backoff_seconds + pacing.grace_seconds < 6.0
+
+
+async def test_change_is_received_from_a_discovery_that_responds_late() -> None:
+    """Each call was given up before its response came, so a draining server got requests for as long."""
+    discovery = FakeDiscovery()
+    await discovery.listen()
+    pacing = PollPacing.for_fleet(4, uses_local_agent=False)
+    discovery.response_delay_seconds = 10 * SHORT_GRACE_SECONDS
+    short_pacing = replace(pacing, long_poll_ms=20, grace_seconds=SHORT_GRACE_SECONDS)
+    versions: list[int] = []
+    watch = DiscoveryWatch(
+        DiscoveryWatchOptions(("127.0.0.1", discovery.port), NameNumbering([], []), 250.0, short_pacing),
+        lambda *_args, **_kwargs: versions.append(discovery.version),
+        lambda _is_rejected: None,
+    )
+    watch.start()
+    await wait_until(lambda: versions, "the first list")
+    discovery.publish()
+    await wait_until(lambda: 2 in versions, "the change")
+    watch.close()
+    discovery.listening_server.close()
+
+
 @pytest.mark.parametrize("limiters", [1, 200])
 def test_unresponsive_local_agent_is_detected_before_sending_to_a_server_must_stop(limiters: int) -> None:
     """The shortest time within which sending to a server has to stop is 250 ms."""
