Block SIGHUP before the event loop removes its signal handlers

Cause: the event loop restores the default action of SIGHUP when it closes; the interpreter then takes some milliseconds to exit. Change: the entry point blocks SIGHUP once run_limiter has returned.

--- a/limiter/__main__.py
+++ b/limiter/__main__.py
@@ -10,7 +10,7 @@
 
 import uvloop
 
-from limiter.configuration.config import ConfigError
+from limiter.configuration.config import Config, ConfigError
 from limiter.configuration.config_loader import load_config
 from limiter.process.startup import raise_descriptor_limit, run_limiter
 
@@ -24,7 +24,7 @@
     try:
         config = load_config(os.environ)
         max_descriptors = raise_descriptor_limit(config.max_descriptors)
-        uvloop.run(run_limiter(replace(config, max_descriptors=max_descriptors)))
+        uvloop.run(_run(replace(config, max_descriptors=max_descriptors)))
     except ConfigError as error:
         print(f"limiter: {error}", file=sys.stderr)
         return 1
@@ -34,5 +34,11 @@
     return 0
 
 
+async def _run(config: Config) -> None:
+    await run_limiter(config)
+    # The event loop removes its handlers when it closes. From then on, SIGHUP would end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/transport/test_reload.py
+++ b/tests/transport/test_reload.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import signal
 from collections.abc import Callable
 from typing import Any
@@ -148,3 +150,14 @@
         number += 1
         assert (await harness.send_request(build_request(request_id=f"d{number}"))).status in (200, 429)
         await asyncio.sleep(0.02)
+
+
+async def test_reload_signals_during_the_shutdown_do_not_end_the_process(harness: LimiterHarness) -> None:
+    """In the last milliseconds, without the handlers of the event loop, SIGHUP ended it with exit code -1."""
+    harness.process.send_signal(signal.SIGTERM)
+    with contextlib.suppress(ProcessLookupError):
+        while harness.process.returncode is None:
+            # `Process.send_signal` would also collect the exit code, so that asyncio could not report it.
+            os.kill(harness.process.pid, signal.SIGHUP)
+            await asyncio.sleep(0.0005)
+    assert await harness.process.wait() == 0
