Split the interfaces and the control of reading from ClientConnection

Change: ReadControl holds the reasons for which a connection is not read; the interfaces to the registry and the handler are in connection_interfaces.py. ParsedRequest is modified by its own methods only. No change of behaviour; tests of clients, memory, pipelining and the paused process pass.

--- a/limiter/transport/clients/client_connection.py
+++ b/limiter/transport/clients/client_connection.py
@@ -5,9 +5,11 @@
 import asyncio
 from collections import deque
 from enum import Enum
-from typing import Protocol, cast
+from typing import cast
 
 from limiter.transport.clients.client_response import LocalResponse, encode_response
+from limiter.transport.clients.connection_interfaces import ConnectionObserver, QueuedRequest, RequestHandler
+from limiter.transport.clients.read_control import PauseReason, ReadControl
 from limiter.transport.clients.request_parser import ParsedRequest, RequestParser
 from limiter.transport.driver.proxied_request import ProxiedRequest
 from limiter.transport.sockets import has_peer_disconnected, has_unread_input
@@ -33,9 +35,6 @@
 # The response to a request for which there is not enough memory. It was not forwarded.
 MEMORY_EXHAUSTED = LocalResponse(503, b"too many requests in memory\n", OVERLOAD_RETRY_AFTER_MS)
 
-# A request that waits for its turn on a connection, or its response if it needs no server.
-QueuedRequest = ProxiedRequest | LocalResponse
-
 
 class ConnectionState(Enum):
     """What happens to a connection after its outstanding responses are written.
@@ -54,61 +53,6 @@
     CLOSED = "closed"
 
 
-class ConnectionObserver(Protocol):
-    """Receives a notification of each change that affects how long a connection may stay open."""
-
-    def connection_opened(self, connection: ClientConnection) -> bool:
-        """Add a new connection; return False if it exceeds the limit, so that its requests are rejected."""
-
-    def request_started(self, connection: ClientConnection) -> None:
-        """Record that a part of a request has been received; called for each part."""
-
-    def held_bytes_changed(self, byte_count: int) -> None:
-        """Record by how many bytes an incomplete request or an unread response has grown or shrunk."""
-
-    def make_room(self, byte_count: int) -> bool:
-        """Make room in memory for a complete request; return False if it has to be rejected."""
-
-    def request_completed(self, connection: ClientConnection) -> None:
-        """Record that a request has been received completely."""
-
-    def connection_idle(self, connection: ClientConnection) -> None:
-        """Record that all requests have their responses."""
-
-    def response_blocked(self, connection: ClientConnection) -> None:
-        """Record that the kernel does not accept the whole response, because the client does not read it."""
-
-    def response_unblocked(self, connection: ClientConnection) -> None:
-        """Record that the kernel has accepted the rest of the response."""
-
-    def connection_failed(self, connection: ClientConnection) -> None:
-        """Record that the response to invalid input was written; close the connection after a delay."""
-
-    def connection_closed(self, connection: ClientConnection) -> None:
-        """Record that the connection is closed."""
-
-
-class RequestHandler(Protocol):
-    """Answers or submits the requests that a connection reads."""
-
-    @property
-    def is_draining(self) -> bool:
-        """Whether each connection is closed after its next response."""
-
-    @property
-    def is_rejecting_requests(self) -> bool:
-        """Whether requests are rejected instead of submitted."""
-
-    def prepare(self, connection: ClientConnection, request: ParsedRequest) -> QueuedRequest:
-        """Return the request to submit when its turn comes, or its response if it needs no server."""
-
-    def submit(self, request: ProxiedRequest) -> None:
-        """Submit a prepared request; `ClientConnection.write_response` is called with its response."""
-
-    def client_disconnected(self, request: ProxiedRequest) -> None:
-        """Finish a prepared request whose client will not receive its response."""
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """Reads pipelined requests, submits one at a time and writes the responses in order.
 
@@ -121,10 +65,9 @@
         "_handler",
         "_held_bytes",
         "_is_overflow_connection",
-        "_is_reading_deferred",
-        "_is_writing_paused",
         "_observer",
         "_parser",
+        "_read_control",
         "_state",
         "current_request",
         "pipelined_requests",
@@ -150,8 +93,7 @@
         self._is_overflow_connection = False
         self._discarded_bytes = 0
         self._held_bytes = 0
-        self._is_reading_deferred = False  # Until the next iteration of the event loop.
-        self._is_writing_paused = False  # The client does not read its responses.
+        self._read_control: ReadControl | None = None
 
     # Callbacks of the transport
 
@@ -159,6 +101,7 @@
         """Store the transport of an accepted connection."""
         # The cast is needed because uvloop's transports do not inherit from asyncio's.
         self.transport = cast(asyncio.Transport, transport)
+        self._read_control = ReadControl(self.transport)
         # With a high-water mark of 0, `pause_writing` is called if the kernel does not accept a complete
         # response.
         self.transport.set_write_buffer_limits(0)
@@ -169,6 +112,7 @@
         self._state = ConnectionState.CLOSED
         # The transport refers to this connection. Breaking the cycle frees both without garbage collection.
         self.transport = None
+        self._read_control = None
         self._close_parser()
         self._update_held_bytes()
         self._observer.connection_closed(self)
@@ -181,22 +125,20 @@
     def buffer_updated(self, byte_count: int) -> None:
         """Handle the input in the buffer; if it is full, read on in the next iteration of the event loop."""
         self._handle_input(bytes(_read_buffer[:byte_count]))
-        if byte_count == READ_BUFFER_BYTES:
-            self._is_reading_deferred = True
-            self._update_reading()
-            asyncio.get_running_loop().call_soon(self._end_read_deferral)
+        if byte_count == READ_BUFFER_BYTES and self._read_control is not None:
+            self._read_control.read_on_in_next_iteration()
 
     def pause_writing(self) -> None:
         """Stop reading and handling requests, since each response that is not read takes memory."""
-        self._is_writing_paused = True
-        self._update_reading()
+        if self._read_control is not None:
+            self._read_control.pause(PauseReason.UNREAD_RESPONSE)
         self._update_held_bytes()
         self._observer.response_blocked(self)
 
     def resume_writing(self) -> None:
         """Continue with the next request, now that the client has read the response."""
-        self._is_writing_paused = False
-        self._update_reading()
+        if self._read_control is not None:
+            self._read_control.resume(PauseReason.UNREAD_RESPONSE)
         self._update_held_bytes()
         self._observer.response_unblocked(self)
         if self._is_usable and not self.has_failed:
@@ -204,20 +146,6 @@
 
     # Input
 
-    def _end_read_deferral(self) -> None:
-        self._is_reading_deferred = False
-        self._update_reading()
-
-    def _update_reading(self) -> None:
-        transport = self.transport
-        if transport is None or not self._is_usable:
-            return
-        has_discarded_too_much = self._discarded_bytes > MAX_DISCARDED_BYTES
-        if self._is_reading_deferred or self._is_writing_paused or has_discarded_too_much:
-            transport.pause_reading()
-        else:
-            transport.resume_reading()
-
     def _handle_input(self, data: bytes) -> None:
         parser = self._parser
         if parser is None:
@@ -252,7 +180,8 @@
         clients need, so the rest stays in the kernel until the connection is closed.
         """
         self._discarded_bytes += len(data)
-        self._update_reading()
+        if self._discarded_bytes > MAX_DISCARDED_BYTES and self._read_control is not None:
+            self._read_control.pause(PauseReason.TOO_MUCH_DISCARDED)
 
     def _close_parser(self) -> None:
         if self._parser is not None:
@@ -283,7 +212,7 @@
             queued = self._handler.prepare(self, request)
         else:
             queued = MEMORY_EXHAUSTED
-        if self.has_unanswered_requests or self._is_writing_paused:
+        if self.has_unanswered_requests or self._has_unread_response:
             self.pipelined_requests.append(queued)
         else:
             self._start_request(queued)
@@ -301,7 +230,7 @@
             self._handler.submit(request)
 
     def _start_next_request(self) -> None:
-        if self.current_request is None and self.pipelined_requests and not self._is_writing_paused:
+        if self.current_request is None and self.pipelined_requests and not self._has_unread_response:
             self._start_request(self.pipelined_requests.popleft())
 
     def write_response(
@@ -326,7 +255,7 @@
             encode_response(status, body, content_type, retry_after_ms, close=close_after_response)
         )
         if not close_after_response:
-            if not self._is_writing_paused:
+            if not self._has_unread_response:
                 self._continue_after_response()
         elif self.has_failed:
             # Only the sending direction is closed now; `_discard` explains why input is read a little longer.
@@ -346,6 +275,12 @@
 
     # State
 
+    @property
+    def _has_unread_response(self) -> bool:
+        """Whether the kernel has not accepted the whole response, because the client does not read it."""
+        control = self._read_control
+        return control is not None and control.is_paused_for(PauseReason.UNREAD_RESPONSE)
+
     @property
     def _is_usable(self) -> bool:
         """Whether the connection is neither closed nor being closed."""
@@ -358,7 +293,7 @@
 
     def _update_held_bytes(self) -> None:
         held_bytes = self._parser.received_bytes if self._parser is not None else 0
-        if self._is_writing_paused and self.transport is not None:
+        if self._has_unread_response and self.transport is not None:
             held_bytes += self.transport.get_write_buffer_size()
         if held_bytes != self._held_bytes:
             self._observer.held_bytes_changed(held_bytes - self._held_bytes)
--- a/limiter/transport/clients/request_handler.py
+++ b/limiter/transport/clients/request_handler.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from limiter.configuration.config import Config
-from limiter.transport.clients.client_connection import ClientConnection, QueuedRequest
+from limiter.transport.clients.client_connection import ClientConnection
 from limiter.transport.clients.client_response import LocalResponse
+from limiter.transport.clients.connection_interfaces import QueuedRequest
 from limiter.transport.clients.http_request import BadRequestError, RequestValidator
 from limiter.transport.clients.request_parser import ParsedRequest
 from limiter.transport.clock import Clock
--- a/limiter/transport/clients/request_parser.py
+++ b/limiter/transport/clients/request_parser.py
@@ -68,6 +68,18 @@
         """Append a part of the request target."""
         self.target += part
 
+    def append_header(self, name: bytes, value: bytes) -> None:
+        """Append a header line for the server."""
+        self.forwarded_headers += b"%b: %b\r\n" % (name, value)
+
+    def append_body(self, part: bytes) -> None:
+        """Append a part of the body.
+
+        A body may consist of tens of thousands of parts, so its size is checked later, once for all parts of
+        the input.
+        """
+        self.body += part
+
     @property
     def stored_bytes(self) -> int:
         """The length of the parts that are forwarded."""
@@ -165,7 +177,7 @@
         elif lower_name == b"content-length" and value.isdigit() and int(value) > MAX_BODY_BYTES:
             self._error_response = BODY_TOO_LARGE
         if lower_name not in UNFORWARDED_HEADERS:
-            request.forwarded_headers += b"%b: %b\r\n" % (name, value)
+            request.append_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Record the end of the head, and reject a protocol upgrade."""
@@ -176,12 +188,8 @@
             self._error_response = UPGRADE_NOT_SUPPORTED
 
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body.
-
-        A body may consist of tens of thousands of parts, so its size is checked later, once for all parts of
-        the input.
-        """
-        self._request.body += body
+        """Store a part of the body."""
+        self._request.append_body(body)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the callback."""
