--- a/limiter/transport/http_response.py
+++ b/limiter/transport/http_response.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
-from typing import cast
+from typing import NamedTuple, cast
 
 import httptools
 
@@ -24,8 +23,7 @@
     """The input is not an acceptable response. Raised in parser callbacks to make the parser stop."""
 
 
-@dataclass(frozen=True, slots=True)
-class HttpResponse:
+class HttpResponse(NamedTuple):
     """A complete, final response.
 
     Attributes:
--- a/limiter/transport/servers/attempt.py
+++ b/limiter/transport/servers/attempt.py
@@ -6,8 +6,7 @@
 import math
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from limiter.model.events import Outcome
 
@@ -22,8 +21,7 @@
         """Close the connection without ending the attempt."""
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptRequest:
+class AttemptRequest(NamedTuple):
     """The request of an attempt, and the monotonic times in seconds that limit when it may be written.
 
     Attributes:
