Read both limits of the configuration in one way, and drop what the change made dead

Found on reading the change again: the two limits repeated the look-up and the check for a number; connection_lost updated the held bytes that _close_parser had updated; a connection that becomes idle is never in 'reading' any more, since one with a part of a request is reported as such. Behaviour and messages are the same; tests of configuration, clients, memory and pipelining pass.

--- a/limiter/configuration/config_parser.py
+++ b/limiter/configuration/config_parser.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Mapping
 from dataclasses import replace
+from typing import TypeGuard
 
 from limiter.configuration.addresses import Address, parse_address
 from limiter.configuration.config import Config, ConfigError, GossipConfig
@@ -142,27 +143,29 @@
 
 
 def _parse_max_descriptors(limits: object) -> int:
-    value = (
-        limits.get("sockets", DEFAULT_MAX_DESCRIPTORS)
-        if isinstance(limits, dict)
-        else DEFAULT_MAX_DESCRIPTORS
-    )
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not MIN_DESCRIPTORS <= value < DESCRIPTOR_LIMIT:
+    value = _read_limit(limits, "sockets", DEFAULT_MAX_DESCRIPTORS)
+    if not _is_number(value) or not MIN_DESCRIPTORS <= value < DESCRIPTOR_LIMIT:
         problem = f"{value!r} is not a number below 2**31 and at least {MIN_DESCRIPTORS}"
         raise ConfigError(key="limits.sockets", problem=problem)
     return int(value)
 
 
 def _parse_max_memory_bytes(limits: object) -> int:
-    value = limits.get("memory_mb", DEFAULT_MEMORY_MB) if isinstance(limits, dict) else DEFAULT_MEMORY_MB
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not 0 < value < MEMORY_LIMIT_MB:
+    value = _read_limit(limits, "memory_mb", DEFAULT_MEMORY_MB)
+    if not _is_number(value) or not 0 < value < MEMORY_LIMIT_MB:
         problem = f"{value!r} is not a number of MiB above 0 and below 2**31"
         raise ConfigError(key="limits.memory_mb", problem=problem)
     return int(value * BYTES_PER_MB)
 
 
+def _read_limit(limits: object, key: str, default: float) -> object:
+    return limits.get(key, default) if isinstance(limits, dict) else default
+
+
+def _is_number(value: object) -> TypeGuard[float]:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
 def _check_plan_list(raw_settings: Mapping[str, object]) -> None:
     """Reject an object with the key `count` in place of the list of plans.
 
--- a/limiter/transport/clients/client_connection.py
+++ b/limiter/transport/clients/client_connection.py
@@ -27,14 +27,12 @@
 # The status is that of a failure and not of a rejection, since the response goes to the current request,
 # which a server may have run.
 TOO_MANY_PIPELINED_REQUESTS = LocalResponse(400, b"too many requests on one connection\n")
-
+# The response to a request for which there is not enough memory. It was not forwarded.
+MEMORY_EXHAUSTED = LocalResponse(503, b"too many requests in memory\n", OVERLOAD_RETRY_AFTER_MS)
 
 # Receives the input of all connections: each of them parses its input before the next one is read.
 _read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
 
-# The response to a request for which there is not enough memory. It was not forwarded.
-MEMORY_EXHAUSTED = LocalResponse(503, b"too many requests in memory\n", OVERLOAD_RETRY_AFTER_MS)
-
 
 class ConnectionState(Enum):
     """What happens to a connection after its outstanding responses are written.
@@ -114,7 +112,6 @@
         self.transport = None
         self._read_control = None
         self._close_parser()
-        self._update_held_bytes()
         self._observer.connection_closed(self)
         self._discard_unanswered_requests()
 
@@ -187,7 +184,7 @@
         if self._parser is not None:
             self._parser.close()
             self._parser = None
-            self._update_held_bytes()
+        self._update_held_bytes()
 
     def _discard_unanswered_requests(self) -> None:
         unanswered = [self.current_request, *self.pipelined_requests]
--- a/limiter/transport/clients/connection_registry.py
+++ b/limiter/transport/clients/connection_registry.py
@@ -100,10 +100,9 @@
         self._remove_from_states(connection)
 
     def connection_idle(self, connection: ClientConnection) -> None:
-        """Record that no request is open; a part of the next one may have been received already."""
-        if connection not in self.reading:
-            self._remove_from_states(connection)
-            self.idle[connection] = time.monotonic()
+        """Record that no request is open, and no part of the next one has been received."""
+        self._remove_from_states(connection)
+        self.idle[connection] = time.monotonic()
 
     def response_blocked(self, connection: ClientConnection) -> None:
         """Record that the client does not read its response."""
