--- a/tests/transport/test_dial_races.py
+++ b/tests/transport/test_dial_races.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.support.client import Connection, build_request
-from tests.support.fake_server import list_request_ids
+from tests.support.fake_server import list_request_ids, never_respond
 from tests.support.harness import LimiterHarness, limiter_with, wait_until_latest_list_applied
 from tests.support.limiter_settings import make_raw_settings
 from tests.support.waiting import wait_until
@@ -73,3 +73,37 @@
     await harness.slow_servers[0].accept_connections()
     assert (await harness.send_request(build_request("submit", request_id="2"))).status == 200
     assert list_request_ids(harness.slow_servers[0].received_requests) == ["2"]
+
+
+CLASSES_WITH_SHORT_WINDOW = [
+    {**request_class, "group": "all", "window": 1000.0} for request_class in make_raw_settings()["classes"]
+]
+
+
+@limiter_with(
+    settings=make_raw_settings(
+        classes=CLASSES_WITH_SHORT_WINDOW,
+        limits={"maxAttempts": 4, "dialTimeout": 90_000.0, "keepalive": 30_000.0},
+    ),
+    slow_servers=1,
+)
+async def test_order_with_a_key_is_not_sent_again_after_its_window(harness: LimiterHarness) -> None:
+    """The first attempt times out, and the connection of the retry comes up after the window has ended."""
+    slow_server, first_server = harness.servers
+    first_server.responder = never_respond
+    harness.discovery.publish(first_server.make_list_entry(), full_list=True)
+    await wait_until_latest_list_applied(harness)
+    client = await harness.connect()
+    client.send(build_request("submit", deadline_ms=60_000))
+    await wait_until(lambda: first_server.received_requests, "first attempt")
+    harness.discovery.publish(slow_server.make_list_entry())
+    # A failure and not a rejection: the first attempt may have run.
+    assert (await client.read_response()).status == 502
+    assert harness.slow_servers[0].count_pending_connections() == 0
+    await harness.slow_servers[0].accept_connections()
+    first_server.responder = slow_server.responder
+    for number in range(6):
+        assert (await harness.send_request(build_request(request_id=f"next-{number}"))).status == 200
+    assert "9b1f03aa5c7e2d41" not in [
+        request.headers["x-request-id"] for request in slow_server.received_requests
+    ]
--- a/tests/transport/test_server_pool.py
+++ b/tests/transport/test_server_pool.py
@@ -1,25 +1,32 @@
-"""Tests of the pool of server connections: reuse, failed dials and stale connections."""
+"""Tests of the pool of server connections: reuse, failed dials, stale connections and the time of writing."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
+import math
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
-from limiter.model.events import Outcome
+from limiter.model.events import NOT_EXECUTED_OUTCOMES, Outcome
 from limiter.transport.servers import server_pool as server_pool_module
-from limiter.transport.servers.attempt import Attempt
+from limiter.transport.servers.attempt import Attempt, AttemptRequest
 from limiter.transport.servers.reuse_history import ReuseHistory
 from limiter.transport.servers.server_pool import MIN_IDLE_BEFORE_REUSE_SECONDS, ServerPool
 from tests.support.attempt_request import make_attempt_request
 from tests.support.fake_server import FakeServer, reset_connection, respond_with
-from tests.support.waiting import wait_until
+from tests.support.waiting import WAIT_TIMEOUT_SECONDS, wait_until
 
 ATTEMPT_TIMEOUT_SECONDS = 5.0
+# No dial times out in a test.
+DIAL_TIMEOUT_MS = 10_000 * WAIT_TIMEOUT_SECONDS
+SHORT_SECONDS = 0.02
+# Long enough for a dial on a busy machine.
+LONG_SECONDS = 1.0
 
 
 class PoolDriver:
@@ -39,15 +46,23 @@
 
     def send(self) -> None:
         """Send the next attempt."""
-        request = make_attempt_request(request_id=str(self.sent_count))
+        self._send(make_attempt_request(request_id=str(self.sent_count)), ATTEMPT_TIMEOUT_SECONDS)
+
+    def _send(self, request: AttemptRequest, timeout_seconds: float | None) -> None:
         attempt = Attempt(self.sent_count, self.server.endpoint_id.encode(), request, self._on_ended)
         self.sent_count += 1
-        self.pool.send(attempt, ATTEMPT_TIMEOUT_SECONDS)
+        self.pool.send(attempt, timeout_seconds)
 
     async def wait_for_end(self) -> None:
         """Wait until all attempts have ended."""
         await wait_until(lambda: len(self.attempt_results) == self.sent_count, "end of all attempts")
 
+    async def send_and_wait(self, request: AttemptRequest) -> Outcome:
+        """Send an attempt with this request and without a timeout, and return its outcome."""
+        self._send(request, None)
+        await self.wait_for_end()
+        return self.attempt_results[-1][0]
+
     def _on_ended(self, attempt: Attempt, outcome: Outcome, _body: bytes, _content_type: bytes) -> None:
         self.attempt_results.append((outcome, attempt.is_connection_stale))
 
@@ -57,7 +72,7 @@
     """Run a pool and its only server."""
     server = FakeServer("s")
     await server.listen()
-    pool = ServerPool(dial_timeout_ms=250.0, keepalive_ms=30_000.0, max_connections=8)
+    pool = ServerPool(dial_timeout_ms=DIAL_TIMEOUT_MS, keepalive_ms=30_000.0, max_connections=8)
     pool.add_or_replace(b"s", ("127.0.0.1", server.port), 0.0)
     try:
         yield PoolDriver(pool, server)
@@ -136,3 +151,81 @@
         history.record(0.3, True)
         history.record(0.02, True)
     assert history.permits_reuse(0.3)  # Idle time is not the cause, because resets occur after any idle time.
+
+
+def hold_up_after_dial(monkeypatch: pytest.MonkeyPatch, is_over: Callable[[], bool]) -> None:
+    """Let the process be held up between the end of a dial and its next step, until a condition holds."""
+    loop = asyncio.get_running_loop()
+    create_connection = loop.create_connection
+
+    async def create_connection_and_hold_up(*args: Any) -> Any:
+        connection = await create_connection(*args)
+        while not is_over():
+            time.sleep(SHORT_SECONDS)  # noqa: ASYNC251 - blocks the event loop on purpose
+        return connection
+
+    monkeypatch.setattr(loop, "create_connection", create_connection_and_hold_up)
+
+
+async def test_request_is_not_written_after_its_time_on_a_connection_that_came_up_late(
+    driver: PoolDriver, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An order with a key was written 0.45 s after the servers had forgotten the key, and ran twice."""
+    late = make_attempt_request(write_within_seconds=LONG_SECONDS)
+    hold_up_after_dial(monkeypatch, lambda: late.remaining_write_seconds() <= 0)
+    assert await driver.send_and_wait(late) is Outcome.REQUEST_ENDED
+    monkeypatch.undo()
+    monkeypatch.setattr(server_pool_module, "MIN_IDLE_BEFORE_REUSE_SECONDS", 0.0)
+    # The next request is written on the same connection, so the server would have read the first one.
+    assert await driver.send_and_wait(make_attempt_request("2")) is Outcome.OK
+    assert [request.headers["x-request-id"] for request in driver.server.received_requests] == ["2"]
+
+
+async def test_dial_ends_when_its_request_must_not_be_written_any_more(
+    driver: PoolDriver, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Otherwise the client would wait for a response until the dial times out, without any use."""
+
+    async def wait_forever(*_: object) -> None:
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", wait_forever)
+    outcome = await driver.send_and_wait(make_attempt_request(write_within_seconds=SHORT_SECONDS))
+    assert outcome is Outcome.CONNECT_FAILED
+
+
+@pytest.mark.parametrize(
+    ("expires_in_seconds", "write_within_seconds"), [(0.0, math.inf), (5.0, 0.0)], ids=["expired", "too late"]
+)
+async def test_request_is_not_written_after_its_time_on_an_idle_connection(
+    expires_in_seconds: float,
+    write_within_seconds: float,
+    driver: PoolDriver,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The process may have been held up since the policy decided to send the attempt."""
+    monkeypatch.setattr(server_pool_module, "MIN_IDLE_BEFORE_REUSE_SECONDS", 0.0)
+    assert await driver.send_and_wait(make_attempt_request("1")) is Outcome.OK
+    now_seconds = time.monotonic()
+    late = AttemptRequest(
+        b"GET /read/5 HTTP/1.1\r\nX-Request-Id: late\r\n",
+        b"",
+        expires_at_seconds=now_seconds + expires_in_seconds,
+        write_before_seconds=now_seconds + write_within_seconds,
+    )
+    assert await driver.send_and_wait(late) in NOT_EXECUTED_OUTCOMES
+    assert await driver.send_and_wait(make_attempt_request("3")) is Outcome.OK
+    assert [request.headers["x-request-id"] for request in driver.server.received_requests] == ["1", "3"]
+
+
+async def test_server_is_told_the_time_that_is_left_when_the_request_is_written(
+    driver: PoolDriver, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An attempt on a connection that came up 1 s late told its server 1 s more than its client waited."""
+    request = make_attempt_request()
+    writes_after_seconds = time.monotonic() + SHORT_SECONDS
+    hold_up_after_dial(monkeypatch, lambda: time.monotonic() >= writes_after_seconds)
+    await driver.send_and_wait(request)
+    [received] = driver.server.received_requests
+    told_ms = int(received.headers["x-deadline-ms"])
+    assert told_ms <= (request.expires_at_seconds - writes_after_seconds) * 1000
