Shed a connection whose client has just closed it

Cause: a connection with unread input is not shed, since a request may be on its way; an end of stream that the event loop has not read yet counted as such. Change: it is shed if its client has disconnected, which the kernel is asked. Evidence: the new test forces the crossing and fails before.

--- a/limiter/transport/clients/connection_registry.py
+++ b/limiter/transport/clients/connection_registry.py
@@ -156,7 +156,8 @@
             return True
         for state in (self.new, self.idle):
             for connection in state:
-                if not connection.has_unread_input:
+                # An unread end of stream is no request: its client has gone.
+                if not connection.has_unread_input or connection.has_disconnected():
                     self._close_connection(connection)
                     return True
         return self._abort_longest_blocked() or self._fail_longest_reading()
--- a/tests/transport/test_lifecycle.py
+++ b/tests/transport/test_lifecycle.py
@@ -19,8 +19,9 @@
 from limiter.transport.clock import Clock
 from limiter.transport.driver.proxy import Proxy
 from tests.support.client import build_request
-from tests.support.fake_server import never_respond, respond_after, respond_with
+from tests.support.fake_server import FakeServer, never_respond, respond_after, respond_with
 from tests.support.harness import LimiterHarness, launch_limiter, limiter_with
+from tests.support.in_process_limiter import RawClient, in_process_limiter
 from tests.support.limiter_settings import make_raw_config, make_raw_settings, make_raw_settings_with_quota
 from tests.support.paths import REPOSITORY_ROOT
 from tests.support.waiting import wait_until
@@ -198,6 +199,18 @@
     assert harness.process.returncode is None
 
 
+async def test_connection_whose_client_has_just_closed_it_is_shed_for_a_new_one() -> None:
+    """Otherwise the new one gets 503 until the event loop has read the ends of the others' streams."""
+    async with in_process_limiter(FakeServer("s-0")) as (_, listener):
+        client = RawClient(listener)
+        await wait_until(lambda: listener.registry.new)
+        client.send(b"GET /")
+        assert not listener.registry.shed_connection()  # A request may be on its way.
+        client.socket.close()
+        assert listener.registry.shed_connection()
+        assert not listener.registry.connections
+
+
 async def test_descriptor_limit_below_the_configured_one_does_not_terminate_the_limiter(
     harness: LimiterHarness,
 ) -> None:
