Review: show that two refused polls hide a drain

Cause: without gossip 14 limiters or more wait 2.1 to 4.9 s between two polls, so two refused ones may take more than 6 s.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -185,6 +185,7 @@
     Attributes:
         delay_seconds: How late each answer is.
         answers: Cleared while discovery is down, so that calls wait without an answer.
+        refusals_left: How many of the next calls are refused with 503.
     """
 
     def __init__(self, record: Record, name: str = "discovery") -> None:
@@ -196,6 +197,8 @@
         self.delay_seconds = 0.0
         self.answers = asyncio.Event()
         self.answers.set()
+        self.refusals_left = 0
+        self._writers: set[asyncio.StreamWriter] = set()
         self.port = 0
         self.answered: list[tuple[float, int]] = []
         self._changed = asyncio.Condition()
@@ -229,14 +232,26 @@
         listed = [entry for _, entry in self.entries.values() if entry["lifecycle"] != "left"]
         return {"generation": self.generation, "reset": True, "instances": listed}
 
+    def reset_watches(self) -> None:
+        """Reset all open connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 target = (await reader.readuntil(b"\r\n\r\n")).split()[1].decode()
                 await self._answer(target, writer)
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, target: str, writer: asyncio.StreamWriter) -> None:
+        if self.refusals_left:
+            self.refusals_left -= 1
+            self.record.add(f"{self.name} refuses {target}")
+            writer.write(encode_response(503, b""))
+            return
         since = re.search(r"since=(\d+)", target)
         wait = re.search(r"timeout_ms=(\d+)", target)
         if since is not None:
