Fail responses that are followed by more bytes than their stated length

Cause: ResponseProtocol.data_received reported a response once the parser had reached its stated end. Bytes behind the end only made the connection unusable (`_parse` returned False while `_is_response_complete` was set), and ServerConnection ended the attempt as OK. Found on the same path: a rejection with X-Not-Run and too short a length counted as not run, so an order went out again; the parser skips line breaks behind a message without a callback; bytes that the kernel still held were not looked for; of two different responses the first was served.

Change: a response is reported once the kernel holds no more bytes on its connection, and HttpResponse.has_surplus says whether others followed it. ServerConnection ends such an attempt as RESET: failed, may have run. MessageEnd counts the line breaks that the parser skips.

Tests: the one on bytes behind a response asserted that the first response is served whatever follows it. That was wrong for all tails that may be the rest of its body.

--- a/limiter/transport/http_response.py
+++ b/limiter/transport/http_response.py
@@ -7,7 +7,8 @@
 
 import httptools
 
-from limiter.transport.sockets import close_socket_immediately
+from limiter.transport.message_end import MessageEnd
+from limiter.transport.sockets import close_socket_immediately, has_unread_input
 
 # Maximum size of a response's head. Interim responses are included, since a peer could otherwise send an
 # unlimited number of them.
@@ -32,6 +33,8 @@
         content_type: Media type of the body; empty if the response has none.
         is_marked_not_run: Whether the response says, by `X-Not-Run: 1`, that the request was not run.
         keep_alive: Whether the connection can carry another request.
+        has_surplus: Whether it was followed by bytes that are not a copy of it. They may be the rest of its
+            body, if its stated length is too short.
     """
 
     status: int
@@ -39,11 +42,15 @@
     content_type: bytes
     is_marked_not_run: bool
     keep_alive: bool
+    has_surplus: bool = False
 
 
 class ResponseProtocol(asyncio.Protocol):
     """Collects each response and calls `response_received` with it.
 
+    A response is reported once it is complete and the kernel holds no further bytes. Further bytes are a
+    surplus, except those of a second copy of the response, which a server may send by mistake.
+
     `connection_failed` is called when the connection can no longer be used, because it was closed or its
     input is invalid. It may be called twice: for invalid input, and again when the connection is closed.
 
@@ -54,17 +61,18 @@
 
     __slots__ = (
         "_body",
+        "_complete_response",
         "_content_type",
+        "_has_copy",
         "_has_length",
         "_head_bytes",
+        "_is_chunked",
         "_is_head_complete",
         "_is_marked_not_run",
-        "_is_response_complete",
-        "_keep_alive",
         "_max_body_bytes",
+        "_message_end",
         "_parser",
         "_received_bytes",
-        "_status",
         "is_receiving",
         "transport",
     )
@@ -77,11 +85,12 @@
         # None once no more input is parsed. The parser and this object refer to each other; None breaks that
         # cycle, so that both are freed without garbage collection.
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
-        self._is_response_complete = False  # A final response is complete and not reported yet.
-        self._keep_alive = False
+        self._complete_response: HttpResponse | None = None  # Complete and final, but not reported yet.
+        self._has_copy = False  # A second copy of the complete response has been received.
         self._head_bytes = 0  # Bytes received since the last response, until the first of the body.
         self._received_bytes = 0  # Bytes received since the last response.
-        self._reset_response()
+        self._message_end = MessageEnd()
+        self._reset_parsed_fields()
 
     def response_received(self, response: HttpResponse) -> None:
         """Handle a complete response."""
@@ -112,30 +121,32 @@
         if not self._body:
             self._head_bytes += len(data)
         self._received_bytes += len(data)
+        self._message_end.record_received(data)
         is_valid = self._parse(parser, data)
-        if not is_valid:
-            self.close_immediately()
         # Responses are reported here and not in a parser callback: the parser would treat an exception from
         # `response_received` as a parser error.
-        if self._is_response_complete:
-            self._finish_response(is_valid=is_valid)
-        elif not is_valid:
-            self.connection_failed()
+        if not is_valid:
+            self._handle_invalid_input()
+        elif self._complete_response is not None:
+            self._handle_complete_response(self._complete_response)
 
     def eof_received(self) -> None:
-        """Report a response without a length, which ends with the stream. A reset does not end it."""
+        """Report a response that ends with the stream, or was complete before. A reset does not end it."""
         parser = self._parser
-        if parser is None or not self.is_receiving or not self._is_head_complete or self._has_length:
+        if parser is None:
             return
-        try:
-            self._complete_response(parser)
-        except ResponseError:
-            return  # The connection is lost next, which reports its failure.
-        self._keep_alive = False
-        self._finish_response(is_valid=True)
+        if self._complete_response is None:
+            if not self.is_receiving or not self._is_head_complete or self._has_length:
+                return
+            try:
+                self._end_message(parser)
+            except ResponseError:
+                return  # The connection is lost next, which reports its failure.
+        self._finish_with_connection()
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Release the closed connection, and report its failure."""
+        self._finish_with_connection()
         self._parser = None
         self.transport = None
         self.connection_failed()
@@ -146,7 +157,7 @@
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return False
-        return self._is_response_complete or not self._exceeds_size_limits()
+        return not self.is_receiving or not self._exceeds_size_limits()
 
     def _exceeds_size_limits(self) -> bool:
         """Return whether an incomplete response exceeds the limits on its head or its chunks and trailers."""
@@ -154,42 +165,63 @@
             return True
         return self._received_bytes > MAX_HEAD_BYTES + MAX_ENCODED_BODY_FACTOR * self._max_body_bytes
 
-    def _reset_response(self) -> None:
-        self._status = 0
+    def _handle_invalid_input(self) -> None:
+        """Close the connection; a response that was complete before the invalid bytes has a surplus."""
+        self.close_immediately()
+        response = self._complete_response
+        if response is None:
+            self.connection_failed()
+        else:
+            self._report(response, has_surplus=True)
+
+    def _handle_complete_response(self, response: HttpResponse) -> None:
+        """Report the response, unless more bytes have to be read to tell whether it has a surplus."""
+        if self.is_receiving:
+            return  # The bytes after the response may become a second copy of it.
+        if self._message_end.is_followed_by_line_breaks:
+            self._report(response, has_surplus=True)
+        elif not self._has_unread_input():
+            self._report(response, has_surplus=False)
+
+    def _has_unread_input(self) -> bool:
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and has_unread_input(transport)
+
+    def _finish_with_connection(self) -> None:
+        """Report the complete response, if any, because no further bytes will be received."""
+        response = self._complete_response
+        if response is not None and self._parser is not None:
+            self._report(response._replace(keep_alive=False), has_surplus=self.is_receiving)
+
+    def _report(self, response: HttpResponse, *, has_surplus: bool) -> None:
+        """Report the complete response, and expect the response to the next request."""
+        if has_surplus or self._has_copy:
+            # The bytes after the response would be parsed as the response to the next request.
+            response = response._replace(keep_alive=False, has_surplus=has_surplus)
+        self._complete_response = None
+        self._has_copy = False
+        self._head_bytes = 0
+        self._received_bytes = 0
+        self.response_received(response)
+
+    def _reset_parsed_fields(self) -> None:
         self._is_head_complete = False
         self._has_length = False  # The head says where the body ends: by its length or by chunks.
+        self._is_chunked = False
         # One buffer: an object for each of many short chunks would take many times their length.
         self._body = bytearray()
         self._is_marked_not_run = False
         self._content_type = b""
 
-    def _finish_response(self, *, is_valid: bool) -> None:
-        self._is_response_complete = False
-        self._head_bytes = 0
-        self._received_bytes = 0
-        response = HttpResponse(
-            status=self._status,
-            body=bytes(self._body),
-            content_type=self._content_type,
-            is_marked_not_run=self._is_marked_not_run,
-            # Bytes after the response would be parsed as the response to the next request on this connection.
-            keep_alive=is_valid and self._keep_alive and not self.is_receiving,
-        )
-        self._reset_response()  # An idle connection must not keep the body in memory.
-        self.response_received(response)
-
     # Callbacks of the parser, which defines their names
 
     def on_message_begin(self) -> None:
-        """Start a new response, and discard the previous one if it has been reported."""
+        """Start a new response."""
         self.is_receiving = True
-        if not self._is_response_complete:
-            self._reset_response()
+        self._reset_parsed_fields()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store the header fields that the limiter uses."""
-        if self._is_response_complete:
-            raise ResponseError  # The header belongs to a second response.
         name = name.lower()
         if name == b"x-not-run":
             self._is_marked_not_run = value.strip() == b"1"
@@ -197,6 +229,7 @@
             self._content_type = value
         elif name == b"transfer-encoding":
             self._has_length = True
+            self._is_chunked = True
         elif name == b"content-length":
             self._has_length = True
             if int(value) > self._max_body_bytes:
@@ -208,22 +241,38 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        if len(self._body) + len(body) > self._max_body_bytes or self._is_response_complete:
-            raise ResponseError  # The body is too long, or belongs to a second response.
+        if len(self._body) + len(body) > self._max_body_bytes:
+            raise ResponseError
         self._body += body
 
     def on_message_complete(self) -> None:
-        """Mark the response as complete, unless it is an interim response."""
+        """Store the response as complete, or compare it with the response that it follows."""
         parser = self._parser
-        if parser is None or self._is_response_complete:
-            raise ResponseError  # Input is no longer parsed, or this is a second response.
-        self._complete_response(parser)
+        if parser is None:
+            raise ResponseError  # Input is no longer parsed.
+        self._end_message(parser)
 
-    def _complete_response(self, parser: httptools.HttpResponseParser) -> None:
+    def _end_message(self, parser: httptools.HttpResponseParser) -> None:
         self.is_receiving = False
         if parser.get_http_version() not in SUPPORTED_HTTP_VERSIONS:
             raise ResponseError
-        self._status = parser.get_status_code()
-        # The parser must be asked here: after the end of the message it always returns False.
-        self._keep_alive = parser.should_keep_alive()
-        self._is_response_complete = self._status >= MIN_FINAL_STATUS
+        status = parser.get_status_code()
+        if status < MIN_FINAL_STATUS:
+            return
+        response = HttpResponse(
+            status=status,
+            body=bytes(self._body),
+            content_type=self._content_type,
+            is_marked_not_run=self._is_marked_not_run,
+            # The parser must be asked here: after the end of the message it always returns False.
+            keep_alive=parser.should_keep_alive(),
+        )
+        self._message_end.record_message(self._body, is_chunked=self._is_chunked)
+        if self._complete_response is None:
+            self._complete_response = response
+        elif response == self._complete_response and not self._has_copy:
+            self._has_copy = True
+        else:
+            raise ResponseError  # Which of the two is the response to the request is unknown.
+        self._head_bytes = 0
+        self._reset_parsed_fields()  # An idle connection must not keep the body in memory.
--- a/limiter/transport/servers/server_connection.py
+++ b/limiter/transport/servers/server_connection.py
@@ -160,6 +160,10 @@
         if attempt is None:  # A second response to the same request.
             self.close_immediately()
             return
+        if response.has_surplus:
+            # The server may have stated too short a length, so that only a part of the body was received.
+            self._fail_connection()
+            return
         self._attempt = None
         if self._idle_seconds_before_attempt is not None:
             self._owner.record_reuse(self._idle_seconds_before_attempt, was_reset=False)
--- a/tests/transport/test_requests.py
+++ b/tests/transport/test_requests.py
@@ -184,6 +184,18 @@
     "unsupported HTTP version": respond_raw(b"HTTP/2.0 200 OK\r\nContent-Length: 3\r\n\r\nabc"),
     "switch to another protocol": respond_raw(b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"),
     "invalid chunk size": respond_raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
+    # Responses whose stated length was too short were served, with a part of their body.
+    "body longer than Content-Length": respond_raw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nonly this"),
+    "body longer than Content-Length, of which only a line break is left": respond_raw(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nonly\r\n"
+    ),
+    "body, with a Content-Length of 0": respond_raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nonly this"),
+    "body longer than Content-Length, on a connection that closes": respond_raw(
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nonly this"
+    ),
+    "chunk after the last chunk": respond_raw(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nonly\r\n0\r\n\r\n4\r\nthis\r\n0\r\n\r\n"
+    ),
 }
 
 
@@ -255,19 +267,44 @@
     assert (await harness.send_request(build_request("order"))).status == 502
 
 
+async def test_rejection_with_surplus_bytes_may_have_been_executed(harness: LimiterHarness) -> None:
+    """An order was sent again after a response whose stated length was too short."""
+    rejection = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nonly this"
+    harness.servers[0].responder = respond_raw(rejection)
+    assert (await harness.send_request(build_request("order", deadline_ms=60_000))).status == 502
+    assert len(harness.received_requests) == 1
+
+
 FIRST_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
 SECOND_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
 
 
-@pytest.mark.parametrize("tail", [SECOND_RESPONSE, SECOND_RESPONSE[:20], b"rubbish"])
-async def test_bytes_after_a_response_are_not_treated_as_the_next_response(
-    harness: LimiterHarness, tail: bytes
+@pytest.mark.parametrize(
+    ("tail", "status", "body"),
+    [
+        (FIRST_RESPONSE, 200, b"one"),
+        (SECOND_RESPONSE, 502, None),
+        (FIRST_RESPONSE[:20], 502, None),
+        (FIRST_RESPONSE + FIRST_RESPONSE, 502, None),
+        (FIRST_RESPONSE + b"rubbish", 502, None),
+        (b"rubbish", 502, None),
+        (b"\r\n", 502, None),
+    ],
+    ids=["copy", "other response", "part of a copy", "two copies", "copy and noise", "noise", "line break"],
+)
+async def test_bytes_after_a_response_fail_it_unless_they_are_its_copy_and_are_not_the_next_response(
+    harness: LimiterHarness, tail: bytes, status: int, body: bytes | None
 ) -> None:
-    """The connection must not be reused, or the surplus bytes are matched to the next request."""
+    """The bytes may be the rest of the body; if the connection is reused, they go to the next request."""
     harness.servers[0].responder = respond_raw(FIRST_RESPONSE + tail)
-    assert (await harness.send_request(build_request())).body == b"one"
+    response = await harness.send_request(build_request("order", deadline_ms=60_000))
+    assert response.status == status
+    if body is not None:
+        assert response.body == body
     harness.servers[0].responder = respond_with(200, b"two")
+    await asyncio.sleep(2 * MIN_IDLE_BEFORE_REUSE_SECONDS)
     assert (await harness.send_request(build_request())).body == b"two"
+    assert [received.connection_number for received in harness.received_requests] == [1, 2]
 
 
 class DuplicateResponder:
