Count invalid responses on reused connections against their server

What callers saw: nothing directly. A server that spoils its responses was not ejected while its connections were reused, so requests went on failing there; and reuse was avoided, as if the server closed idle connections.

Cause: ServerConnection.data_received noted the time of the received bytes after it had parsed them. If the parser found them invalid, connection_failed compared the time of the bytes before with the start of the attempt and reported a connection that was reset before any byte of a response (`is_stale`).

Change: the time is noted first.

Result: the new test failed for both of its responses before (RESET, stale), and passes.

--- a/limiter/transport/servers/server_connection.py
+++ b/limiter/transport/servers/server_connection.py
@@ -147,8 +147,8 @@
             # No attempt is in flight. Reading on could match these bytes to the next request.
             self._fail_connection()
             return
-        super().data_received(data)
         self._last_received_seconds = received_at_seconds
+        super().data_received(data)
         if self._attempt is None or not self.is_receiving:
             self._stop_stall_timer()
         elif self._stall_timer is None:
--- a/tests/transport/test_server_pool.py
+++ b/tests/transport/test_server_pool.py
@@ -18,7 +18,7 @@
 from limiter.transport.servers.reuse_history import ReuseHistory
 from limiter.transport.servers.server_pool import MIN_IDLE_BEFORE_REUSE_SECONDS, ServerPool
 from tests.support.attempt_request import make_attempt_request
-from tests.support.fake_server import FakeServer, reset_connection, respond_with
+from tests.support.fake_server import FakeServer, reset_connection, respond_raw, respond_with
 from tests.support.waiting import WAIT_TIMEOUT_SECONDS, wait_until
 
 ATTEMPT_TIMEOUT_SECONDS = 5.0
@@ -135,6 +135,22 @@
     assert driver.attempt_results == [(Outcome.OK, False), (Outcome.RESET, True), (Outcome.RESET, False)]
 
 
+@pytest.mark.parametrize(
+    "data", [b"what?", b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nonly this"], ids=["not HTTP", "surplus"]
+)
+async def test_invalid_response_on_a_reused_connection_is_not_reported_as_stale(
+    data: bytes, driver: PoolDriver
+) -> None:
+    """Invalid responses counted as closes of idle connections, so their server was not ejected for them."""
+    for responder in (respond_with(200), respond_raw(data)):
+        driver.server.responder = responder
+        driver.send()
+        await driver.wait_for_end()
+        await asyncio.sleep(2 * MIN_IDLE_BEFORE_REUSE_SECONDS)
+    assert driver.server.accepted_connections == 1
+    assert driver.attempt_results == [(Outcome.OK, False), (Outcome.RESET, False)]
+
+
 def test_connections_are_not_reused_after_idle_times_at_which_resets_are_frequent() -> None:
     history = ReuseHistory()
     for _ in range(40):
