Use no stored endpoint list while the agent of discovery does not answer

Cause: run_limiter waited for discovery for 1 s and then listened with the `known` list of its configuration, whatever the reason for the missing answer was. Where lists are pushed, what the agent holds counts as told from the first moment of a new process.

Change: ListConfirmation holds whether the agent in the configuration has sent the list in use. If an agent runs but does not answer, the policy gets EndpointListExpired, has no ready server and rejects requests at once until the agent sends a list. The limiter listens after 5 s instead of 1 s then, within the 6 s in which a restarted limiter has to be ready. Where nothing listens at the agent's address, nothing can be held there, and the stored list is used as before.

--- a/limiter/model/events.py
+++ b/limiter/model/events.py
@@ -90,6 +90,14 @@
     from_cache: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointListExpired:
+    """The endpoint list must not be used any more; the next `EndpointsChanged` replaces it.
+
+    The agent of discovery may hold changes that bind this limiter but that it has not received.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class DiscoveryPollFailed:
     """A poll of discovery did not return an endpoint list.
@@ -226,6 +234,7 @@
 
 Event = (
     EndpointsChanged
+    | EndpointListExpired
     | DiscoveryPollFailed
     | ClientRequest
     | AttemptEnded
--- a/limiter/policy/engine.py
+++ b/limiter/policy/engine.py
@@ -103,7 +103,7 @@
                 self.admission.handle_counter_reply(now, event)
             case events.GossipReceived():
                 self._handle_gossip(now, event)
-            case events.EndpointsChanged():
+            case events.EndpointsChanged() | events.EndpointListExpired():
                 self._handle_endpoints(now, event)
             case events.ClientDisconnected():
                 self.attempt_dispatcher.handle_disconnect(now, event)
@@ -143,10 +143,17 @@
         if not self.discovery_backoff.handle_gossip_message(received.body):
             self.usage_gossip.receive(now, received.body)
 
-    def _handle_endpoints(self, now: float, change: events.EndpointsChanged) -> None:
+    def _handle_endpoints(
+        self, now: float, change: events.EndpointsChanged | events.EndpointListExpired
+    ) -> None:
+        if isinstance(change, events.EndpointListExpired):
+            self.server_selector.table.expire()
+            return
         self.discovery_backoff.handle_endpoint_list(change)
         has_change = change.is_full_list or bool(change.endpoints)
         if has_change:
+            was_expired = self.server_selector.table.is_expired
             self.server_selector.update_endpoints(change)
-            if not self.concurrency_limit.has_been_computed:
+            # The capacity of the fleet counted as 0 while the list was expired.
+            if was_expired or not self.concurrency_limit.has_been_computed:
                 self.concurrency_limit.update(now)
--- a/limiter/policy/server_table.py
+++ b/limiter/policy/server_table.py
@@ -70,6 +70,7 @@
         ready: The servers that attempts may be sent to.
         excluded_ids: Ids of servers that are treated as not ready, because peers reported them as draining or
             gone while this limiter's endpoint list is stale.
+        is_expired: Whether no server may be used until discovery has sent a list.
     """
 
     def __init__(self) -> None:
@@ -77,6 +78,7 @@
         self.by_id: dict[EndpointId, Server] = {}
         self.ready: list[Server] = []
         self.excluded_ids: set[EndpointId] = set()
+        self.is_expired = False
 
     def update(self, change: EndpointsChanged) -> list[Server]:
         """Apply a full endpoint list, or changes to the list.
@@ -84,6 +86,8 @@
         Returns:
             The servers that have restarted or are new to this limiter, in the order of the list.
         """
+        if not change.from_cache:
+            self.is_expired = False
         if change.is_full_list:
             self._mark_unlisted({endpoint.id for endpoint in change.endpoints})
         new_servers = []
@@ -128,9 +132,17 @@
         }
 
     def _update_ready(self) -> None:
+        if self.is_expired:
+            self.ready = []
+            return
         ready_servers = (server for server in self.by_id.values() if server.is_ready)
         self.ready = [server for server in ready_servers if server.endpoint.id not in self.excluded_ids]
 
+    def expire(self) -> None:
+        """Treat all servers as not ready until discovery has sent a list."""
+        self.is_expired = True
+        self._update_ready()
+
     def exclude_endpoints(self, endpoint_ids: Iterable[EndpointId]) -> None:
         """Treat these servers as not ready, whatever this limiter's endpoint list says."""
         known_ids = self.by_id.keys() & set(endpoint_ids)
--- a/limiter/process/startup.py
+++ b/limiter/process/startup.py
@@ -14,11 +14,15 @@
 from limiter.process.shutdown import shut_down_gracefully
 from limiter.transport.clients.listener import Listener
 from limiter.transport.clock import Clock
+from limiter.transport.discovery.discovery_watch import DiscoveryWatch
 from limiter.transport.driver.proxy import Proxy
 
 # Maximum wait for the first response of discovery. After that the limiter serves with the endpoint list of
-# the configuration: while discovery is down, a limiter with an outdated list is better than none.
+# the configuration if that may be used: without discovery, an outdated list is better than none.
 DISCOVERY_WAIT_SECONDS = 1.0
+# Further wait if that list must not be used. Both together are below 6 s, within which a restarted limiter
+# has to be ready. After that it rejects all requests until discovery has responded.
+UNUSABLE_LIST_WAIT_SECONDS = 4.0
 
 log = logging.getLogger("limiter")
 
@@ -40,9 +44,7 @@
         loop.add_signal_handler(signal.SIGHUP, reload_configuration, proxy)
         proxy.discovery.start()
         _exclude_from_garbage_collection()
-        # Servers may have started draining while this process did not run, so it accepts no request before
-        # discovery has responded or DISCOVERY_WAIT_SECONDS have passed.
-        await _wait_for_any(DISCOVERY_WAIT_SECONDS, proxy.discovery.first_list_received, stop_requested)
+        await _wait_for_endpoint_list(proxy.discovery, stop_requested)
         listener = Listener(config, proxy, clock)
         host, port = listener.socket.getsockname()[:2]
         log.info("listening name=%s address=%s:%d", config.name, host, port)
@@ -76,6 +78,17 @@
     gc.freeze()
 
 
+async def _wait_for_endpoint_list(discovery: DiscoveryWatch, stop_requested: asyncio.Event) -> None:
+    """Wait for the first response of discovery, since servers may drain since before this process started.
+
+    On return, the list of the configuration is either usable or has expired, unless discovery has responded.
+    """
+    await _wait_for_any(DISCOVERY_WAIT_SECONDS, discovery.first_list_received, stop_requested)
+    if not discovery.is_list_usable:
+        await _wait_for_any(UNUSABLE_LIST_WAIT_SECONDS, discovery.first_list_received, stop_requested)
+    discovery.expire_unusable_list()
+
+
 async def _wait_for_any(timeout_seconds: float, *events: asyncio.Event) -> None:
     """Wait until one of the events is set or the timeout expires."""
     wait_tasks = [asyncio.ensure_future(event.wait()) for event in events]
--- a/limiter/transport/discovery/discovery_watch.py
+++ b/limiter/transport/discovery/discovery_watch.py
@@ -25,6 +25,7 @@
     NameNumbering,
     parse_endpoint_list,
 )
+from limiter.transport.discovery.list_confirmation import ListConfirmation
 from limiter.transport.discovery.poll_pacing import CATCH_UP_POLL_MS, FIRST_BACKOFF_SECONDS, PollPacing
 from limiter.transport.http_response import HttpResponse
 
@@ -32,6 +33,7 @@
 
 LIST_PATH = "/catalog/members"
 
+ListExpiredCallback = Callable[[], None]
 PollFailedCallback = Callable[[bool], None]  # The argument says whether discovery is overloaded.
 
 
@@ -78,6 +80,7 @@
         options: DiscoveryWatchOptions,
         on_changed: EndpointListCallback,
         on_failed: PollFailedCallback,
+        on_expired: ListExpiredCallback,
     ) -> None:
         """Create a watch; `start` starts it.
 
@@ -85,6 +88,8 @@
             options: Address of discovery and parameters of the calls to it.
             on_changed: Called with an endpoint list or the changes to the previous one.
             on_failed: Called after each failed call if all limiters share one discovery.
+            on_expired: Called when the current list must not be used until `on_changed` is called, because an
+                agent on this host may hold changes to it and does not respond.
         """
         self._names = options.names
         self._pacing = options.pacing
@@ -99,6 +104,7 @@
         self._backoff = Backoff(FIRST_BACKOFF_SECONDS, options.pacing.max_backoff_seconds)
         self._task: asyncio.Task[None] | None = None
         self._is_failure_logged = False  # Reset by a success, so that a persistent failure is logged once.
+        self._confirmation = ListConfirmation(on_expired)
         self.first_list_received = asyncio.Event()  # Set once discovery has sent a list.
         self.poll_allowed = asyncio.Event()  # Cleared after a failed call, set by `allow_next_poll`.
 
@@ -124,6 +130,17 @@
             raise ConfigError(key="known", problem=str(error)) from error
         self._list_version = None if self._pacing.uses_local_agent else configured_list.version
         self._on_changed(configured_list.entries, is_full_list=True, from_cache=True)
+        if self._pacing.uses_local_agent:
+            self._confirmation.require_now()
+
+    @property
+    def is_list_usable(self) -> bool:
+        """Whether attempts may be sent by the current list."""
+        return self._confirmation.is_list_usable
+
+    def expire_unusable_list(self) -> None:
+        """Report the current list as expired if it must not be used and that was not reported before."""
+        self._confirmation.expire_if_unusable()
 
     def allow_next_poll(self) -> None:
         """Allow the next call, which is delayed while discovery is overloaded."""
@@ -183,6 +200,7 @@
         # requested. After an invalid response, only a full list is reliable.
         if not isinstance(error, OSError):
             self._list_version = None
+        self._confirmation.record_failure(error)
 
     async def _wait_to_retry(self, *, is_overloaded: bool) -> None:
         delay_seconds = self._backoff.next_delay_seconds()
@@ -239,10 +257,11 @@
         # be reported as well, even one without changes.
         if received_list.entries or received_list.is_full or not self._pacing.uses_local_agent:
             self._on_changed(received_list.entries, is_full_list=is_full, from_cache=False)
-        if not self.first_list_received.is_set():
+        if not self.first_list_received.is_set() or not self._confirmation.is_list_usable:
             log.info(
                 "discovery_list_received version=%d entries=%d",
                 received_list.version,
                 len(received_list.entries),
             )
-            self.first_list_received.set()
+        self.first_list_received.set()
+        self._confirmation.record_list()
--- a/limiter/transport/driver/proxy.py
+++ b/limiter/transport/driver/proxy.py
@@ -27,6 +27,7 @@
     DiscoveryPollFailed,
     Endpoint,
     EndpointId,
+    EndpointListExpired,
     EndpointsChanged,
     EndpointState,
     Event,
@@ -121,7 +122,9 @@
                 settings.limiter_count, uses_local_agent=not settings.polls_discovery
             ),
         )
-        return DiscoveryWatch(options, self.apply_endpoint_list, self._discovery_poll_failed)
+        return DiscoveryWatch(
+            options, self.apply_endpoint_list, self._discovery_poll_failed, self._endpoint_list_expired
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -163,6 +166,11 @@
         for server_id in [server_id for server_id in self.server_pool.servers if server_id not in listed_ids]:
             self.server_pool.remove(server_id)
 
+    def _endpoint_list_expired(self) -> None:
+        """Stop sending attempts until discovery has sent a list; attempts already written continue."""
+        self.server_pool.drain_all()
+        self._handle_event(EndpointListExpired())
+
     def _discovery_poll_failed(self, is_rejected: bool) -> None:
         """Report a poll that returned no list; `is_rejected` means that discovery rejected the poll."""
         self._handle_event(DiscoveryPollFailed(is_rejected))
--- a/limiter/transport/servers/server_pool.py
+++ b/limiter/transport/servers/server_pool.py
@@ -58,6 +58,11 @@
         if server is not None:
             server.drain()
 
+    def drain_all(self) -> None:
+        """Drain all servers."""
+        for server in self.servers.values():
+            server.drain()
+
     def remove(self, server_id: bytes) -> None:
         """Drain and remove a server; attempts in flight still get their responses."""
         server = self.servers.pop(server_id, None)
--- a/tests/policy/test_server_selection.py
+++ b/tests/policy/test_server_selection.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from limiter.model.events import AttemptEnded, EndpointsChanged, Outcome
+from limiter.model.events import AttemptEnded, EndpointListExpired, EndpointsChanged, Outcome
 from limiter.policy.server_selection import MAX_CANDIDATES
 from limiter.policy.server_table import Server
 from limiter.policy.throttle import SAMPLE_INTERVAL_MS
@@ -119,6 +119,34 @@
     assert two_servers.get_server(0).health.failure_rate == 0.0
 
 
+def test_no_server_receives_attempts_after_the_endpoint_list_has_expired(two_servers: PolicyDriver) -> None:
+    """A restarted limiter sent requests by a list that its agent of discovery had changed."""
+    driver = two_servers
+    driver.send_request(1)
+    [sent] = driver.list_attempts_in_flight()
+    driver.deliver_event(EndpointListExpired())
+    driver.end_attempt(sent, Outcome.CONNECT_FAILED)  # A retry would be safe, but no server may get it.
+    driver.send_request(2)
+    cached_list = EndpointsChanged((make_endpoint(0),), is_full_list=True, from_cache=True)
+    driver.deliver_event(cached_list)
+    driver.send_request(3)
+    assert driver.list_attempts_in_flight() == []
+    driver.deliver_event(EndpointsChanged((make_endpoint(1),), is_full_list=True))
+    driver.send_request(4)
+    assert [sent.endpoint_id for sent in driver.list_attempts_in_flight()] == [make_endpoint_id(1)]
+
+
+def test_fleet_capacity_is_known_as_soon_as_an_expired_list_is_replaced(two_servers: PolicyDriver) -> None:
+    """With the capacity of an empty list, warming servers got too much credit until the next update."""
+    driver = two_servers
+    driver.deliver_event(EndpointListExpired())
+    driver.engine.concurrency_limit.update(driver.now)
+    assert driver.engine.slow_start.fleet_capacity == 1.0
+    endpoints = tuple(make_endpoint(index) for index in range(5))
+    driver.deliver_event(EndpointsChanged(endpoints, is_full_list=True))
+    assert driver.engine.slow_start.fleet_capacity == 5.0
+
+
 def test_server_selection_compares_at_most_the_maximum_number_of_servers(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
