Expire the endpoint list 4 s after a reload whose agent does not answer

After SIGHUP had named another agent of discovery that ran but did not answer, the limiter went on by the list of the old agent for as long, also to servers whose drain the new agent held. What the new agent holds counts as told 4 s after SIGHUP.

Cause: DiscoveryWatch.change_address kept the current list until the new address sends one, without a limit.

Change: change_address requires a list within CONFIRMATION_SECONDS; then the list expires as at the start. Further reloads do not postpone that. If nothing listens at the new address, the list stays in use: a typing error in the file must not stop the service.

--- a/limiter/transport/discovery/discovery_watch.py
+++ b/limiter/transport/discovery/discovery_watch.py
@@ -32,6 +32,8 @@
 log = logging.getLogger(__name__)
 
 LIST_PATH = "/catalog/members"
+# Time after a change of the address from which the changes that the new agent holds bind the limiter.
+CONFIRMATION_SECONDS = 4.0
 
 ListExpiredCallback = Callable[[], None]
 PollFailedCallback = Callable[[bool], None]  # The argument says whether discovery is overloaded.
@@ -152,20 +154,30 @@
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def change_address(self, address: Address) -> None:
-        """Poll another address; the current list stays in effect until that address sends a full list."""
+        """Poll another address.
+
+        The current list stays in effect until that address sends a full list. If it is that of an agent on
+        this host, the list expires after CONFIRMATION_SECONDS.
+        """
         if address == self._address:
             return
-        self.close()
+        self._cancel_polling()
         self._address = address
         self._backoff.reset()
         # Each agent numbers its versions independently, so its changes since the known version would be
         # incomplete.
         self._list_version = None
         self._is_list_current = False
+        if self._pacing.uses_local_agent:
+            self._confirmation.require_within(CONFIRMATION_SECONDS)
         self.start()
 
     def close(self) -> None:
         """Stop polling and cancel the call in progress."""
+        self._confirmation.close()
+        self._cancel_polling()
+
+    def _cancel_polling(self) -> None:
         if self._task is not None:
             self._task.cancel()
 
--- a/limiter/transport/discovery/list_confirmation.py
+++ b/limiter/transport/discovery/list_confirmation.py
@@ -1,11 +1,13 @@
 """Tracks whether the endpoint list in use may be older than what the agent of discovery holds.
 
-What the agent on this host holds binds the limiter from its start, whether or not it has received it. Until
-that agent has sent a list, the limiter does not know which of its servers drain.
+What the agent on this host holds binds the limiter, whether or not it has received it: from its start, and
+from a fixed time after a reload that names another agent. Until that agent has sent a list, the limiter does
+not know which of its servers drain.
 """
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Callable
 from enum import Enum, auto
@@ -17,6 +19,7 @@
     """How far the endpoint list in use may be relied on."""
 
     CONFIRMED = auto()  # The agent in the configuration has sent it, or there is no list to confirm.
+    PENDING = auto()  # The agent has not sent a list yet, but what it holds does not bind the limiter yet.
     OVERDUE = (
         auto()
     )  # What the agent holds binds the limiter; the list may be used only if there is no agent.
@@ -39,6 +42,7 @@
         self._on_expired = on_expired
         self._state = ListState.CONFIRMED
         self._is_agent_absent = False  # The last call failed because nothing listens at the address.
+        self._timer: asyncio.TimerHandle | None = None  # Set while the state is PENDING.
 
     @property
     def is_list_usable(self) -> bool:
@@ -51,9 +55,17 @@
         """Require a list from the agent: the list in use is a stored one."""
         self._state = ListState.OVERDUE
 
+    def require_within(self, seconds: float) -> None:
+        """Require a list from another agent within this time; an earlier requirement remains in force."""
+        self._is_agent_absent = False
+        if self._state is ListState.CONFIRMED:
+            self._state = ListState.PENDING
+            self._timer = asyncio.get_running_loop().call_later(seconds, self._end_pending)
+
     def record_list(self) -> None:
         """Record that the agent has sent a list."""
         self._state = ListState.CONFIRMED
+        self.close()
 
     def record_failure(self, error: Exception) -> None:
         """Record that a call to the agent has failed."""
@@ -66,3 +78,14 @@
             self._state = ListState.EXPIRED
             log.warning("endpoint_list_expired")
             self._on_expired()
+
+    def close(self) -> None:
+        """Cancel the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _end_pending(self) -> None:
+        self._timer = None
+        self._state = ListState.OVERDUE
+        self.expire_if_unusable()
--- a/tests/transport/test_list_confirmation.py
+++ b/tests/transport/test_list_confirmation.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from limiter.transport.discovery.list_confirmation import ListConfirmation
 
+LONG_SECONDS = 1000.0
+
 
 class ConfirmationDriver:
     """Creates a list confirmation, and counts how often the list has expired."""
@@ -18,6 +22,11 @@
     def _record_expiry(self) -> None:
         self.expiry_count += 1
 
+    async def end_pending(self) -> None:
+        """Require a list from another agent, and let the time for it pass."""
+        self.confirmation.require_within(0.0)
+        await asyncio.sleep(0.001)
+
 
 @pytest.fixture
 def driver() -> ConfirmationDriver:
@@ -50,3 +59,37 @@
     assert driver.expiry_count == 1
     driver.confirmation.record_failure(ConnectionRefusedError())
     assert not driver.confirmation.is_list_usable
+
+
+async def test_list_expires_if_another_agent_does_not_respond_in_time(driver: ConfirmationDriver) -> None:
+    await driver.end_pending()
+    assert driver.expiry_count == 1
+    assert not driver.confirmation.is_list_usable
+
+
+async def test_list_is_kept_if_no_other_agent_runs(driver: ConfirmationDriver) -> None:
+    driver.confirmation.require_within(0.0)
+    driver.confirmation.record_failure(ConnectionRefusedError())
+    await asyncio.sleep(0.001)
+    assert driver.confirmation.is_list_usable
+    driver.confirmation.record_failure(TimeoutError())
+    assert not driver.confirmation.is_list_usable
+
+
+async def test_list_is_usable_while_the_time_for_another_agent_has_not_passed(
+    driver: ConfirmationDriver,
+) -> None:
+    driver.confirmation.require_within(LONG_SECONDS)
+    driver.confirmation.record_failure(TimeoutError())
+    assert driver.confirmation.is_list_usable
+    driver.confirmation.record_list()
+    await driver.end_pending()
+    assert driver.expiry_count == 1
+
+
+async def test_further_agents_do_not_postpone_the_expiry(driver: ConfirmationDriver) -> None:
+    """Configurations may follow each other quickly; the changes of the first new agent bind the limiter."""
+    driver.confirmation.require_within(0.0)
+    driver.confirmation.require_within(LONG_SECONDS)
+    await asyncio.sleep(0.001)
+    assert driver.expiry_count == 1
--- a/tests/transport/test_reload.py
+++ b/tests/transport/test_reload.py
@@ -80,6 +80,27 @@
     assert await harness.stop() == 0
 
 
+@limiter_with(servers=2)
+async def test_requests_are_rejected_while_a_new_discovery_does_not_respond_for_long(
+    harness: LimiterHarness,
+) -> None:
+    """After some seconds the new agent's changes bind the limiter, which sent requests by its old list."""
+    draining, ready = harness.servers
+    new_discovery = await start_discovery(draining.make_list_entry("leaving"), ready.make_list_entry())
+    new_discovery.is_responding = False
+    harness.reload_configuration(discovery=new_discovery.address)
+    await send_requests_until(harness, lambda: new_discovery.calls)
+    await wait_until(lambda: "endpoint_list_expired" in "".join(harness.log_lines), "expiry of the list")
+    received_before = len(harness.received_requests)
+    for number in range(6):
+        request = build_request("order", request_id=f"b{number}")
+        assert (await harness.send_request(request)).status == 429
+    assert len(harness.received_requests) == received_before
+    new_discovery.is_responding = True
+    await wait_until(lambda: "discovery_list_received version=1" in harness.log_lines[-1])
+    assert await collect_response_bodies(harness, "order") == {b"from s-1"}
+
+
 async def wait_for_log_line_after(harness: LimiterHarness, line_count: int) -> None:
     """Wait until the log has more than `line_count` lines."""
     await wait_until(lambda: len(harness.log_lines) > line_count, "another log line")
