Fake services close their connections when the event loop of a test ends

Cause: handlers of connections that were open at the end of a test were cancelled without closing their writers. Their StreamWriter.__del__ then raised in a later garbage collection ('Event loop is closed', some fifty warnings in each run). pytest formats such an error with ast.parse; where the collection itself ran inside ast.parse, CPython 3.11 ends with 'SystemError: AST constructor recursion depth mismatch', and pytest with INTERNALERROR and exit code 3.

Change: FakeService closes the writer also if its handler is cancelled.

--- a/tests/support/fake_service.py
+++ b/tests/support/fake_service.py
@@ -56,7 +56,9 @@
     async def _handle_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.accepted_connections += 1
         self.writers.append(writer)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            await self.serve_connection(reader, writer, self.accepted_connections)
-        self.closed_connections += 1
-        writer.close()
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await self.serve_connection(reader, writer, self.accepted_connections)
+        finally:  # Also if the event loop ends before the connection.
+            self.closed_connections += 1
+            writer.close()
