Answer each request of a client that sends many at once

Cause: ClientConnection took the 18th request for invalid input, which fails the connection and drops what waits there, since it is no longer certain which response belongs to which request. Here it was certain.

Change: a request behind 16 waiting ones gets 503 with Retry-After in its turn. From 32 due responses on, the current request gets 400 at once, all waiting ones get 503, and reading pauses, so that a client that sends hundreds still gets its error soon and no memory grows. RequestParser's callback returns nothing any more.

--- a/limiter/transport/clients/client_connection.py
+++ b/limiter/transport/clients/client_connection.py
@@ -14,8 +14,11 @@
 from limiter.transport.driver.proxied_request import ProxiedRequest
 from limiter.transport.sockets import has_peer_disconnected, has_unread_input
 
-# Maximum number of requests that may wait on a connection behind the current one. More are invalid input.
+# Maximum number of requests that may wait on a connection behind the current one. Further ones are rejected.
 MAX_PIPELINED_REQUESTS = 16
+# Number of responses, including rejections, that are due behind the current one. From this number on, the
+# current request fails, all waiting ones are rejected, and nothing is read until fewer responses are due.
+MAX_QUEUED_RESPONSES = 32
 # Maximum number of bytes that are read from one connection in one iteration of the event loop. A client that
 # sends much at once, in parts that take long to parse, thereby delays the others and the timers only briefly.
 READ_BUFFER_BYTES = 4096
@@ -24,9 +27,13 @@
 # Retry-After value on connections over the limit, and once the limiter no longer submits requests.
 OVERLOAD_RETRY_AFTER_MS = 1000.0
 
-# The status is that of a failure and not of a rejection, since the response goes to the current request,
-# which a server may have run.
-TOO_MANY_PIPELINED_REQUESTS = LocalResponse(400, b"too many requests on one connection\n")
+# The response to a request that was not forwarded because too many others wait on its connection.
+TOO_MANY_PIPELINED_REQUESTS = LocalResponse(
+    503, b"too many requests on one connection\n", OVERLOAD_RETRY_AFTER_MS
+)
+# The response to a request that ends early because too many others wait behind it. The status is that of a
+# failure and not of a rejection, since a server may have run the request.
+FAILED_FOR_PIPELINED_REQUESTS = LocalResponse(400, b"too many requests on one connection\n")
 # The response to a request for which there is not enough memory. It was not forwarded.
 MEMORY_EXHAUSTED = LocalResponse(503, b"too many requests in memory\n", OVERLOAD_RETRY_AFTER_MS)
 
@@ -54,8 +61,8 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """Reads pipelined requests, submits one at a time and writes the responses in order.
 
-    Reading is paused while the client does not read its responses, after too much invalid input, and after a
-    full read buffer until the other connections have had their turn.
+    Reading is paused while the client does not read its responses, while too many responses are due, after
+    too much invalid input, and after a full read buffer until the other connections have had their turn.
     """
 
     __slots__ = (
@@ -152,7 +159,7 @@
         self._update_held_bytes()
         if error is not None:
             self.fail(error)
-        elif parser.has_partial_request:
+        elif parser.has_partial_request and not self._is_queue_full:
             self._observer.request_started(self)
 
     def fail(self, error: LocalResponse) -> None:
@@ -196,24 +203,48 @@
 
     # Requests and responses
 
-    def _request_received(self, request: ParsedRequest) -> LocalResponse | None:
-        """Start or queue a request; return the error response if too many requests are queued."""
+    def _request_received(self, request: ParsedRequest) -> None:
+        """Start or queue a request, or its rejection if too many requests are queued."""
         self._observer.request_completed(self)
         self._update_held_bytes()
         if not request.keep_alive:
             self._state = ConnectionState.CLOSING
-        if len(self.pipelined_requests) >= MAX_PIPELINED_REQUESTS:
-            return TOO_MANY_PIPELINED_REQUESTS
-        queued: QueuedRequest
-        if self._observer.make_room(request.stored_bytes):
-            queued = self._handler.prepare(self, request)
-        else:
-            queued = MEMORY_EXHAUSTED
+        queued = self._prepare(request)
         if self.has_unanswered_requests or self._has_unread_response:
             self.pipelined_requests.append(queued)
         else:
             self._start_request(queued)
-        return None
+        if len(self.pipelined_requests) >= MAX_QUEUED_RESPONSES and not self._is_queue_full:
+            self._end_all_requests()
+
+    def _prepare(self, request: ParsedRequest) -> QueuedRequest:
+        """Return the request to submit when its turn comes, or its response."""
+        if len(self.pipelined_requests) >= MAX_PIPELINED_REQUESTS:
+            return TOO_MANY_PIPELINED_REQUESTS
+        if not self._observer.make_room(request.stored_bytes):
+            return MEMORY_EXHAUSTED
+        return self._handler.prepare(self, request)
+
+    def _end_all_requests(self) -> None:
+        """Reject all waiting requests, fail the current one, and read no further ones for now.
+
+        The client gets an error at once, even if no server responds to the current request.
+        """
+        waiting = self.pipelined_requests
+        self.pipelined_requests = deque(
+            request if isinstance(request, LocalResponse) else TOO_MANY_PIPELINED_REQUESTS
+            for request in waiting
+        )
+        for request in waiting:
+            if isinstance(request, ProxiedRequest):
+                self._handler.client_disconnected(request)
+        if self._read_control is not None:
+            self._read_control.pause(PauseReason.FULL_QUEUE)
+        current = self.current_request
+        if current is not None:
+            self.current_request = None
+            self._handler.client_disconnected(current)
+            self._write_local_response(FAILED_FOR_PIPELINED_REQUESTS)
 
     def _start_request(self, request: QueuedRequest) -> None:
         if isinstance(request, LocalResponse):
@@ -229,6 +260,13 @@
     def _start_next_request(self) -> None:
         if self.current_request is None and self.pipelined_requests and not self._has_unread_response:
             self._start_request(self.pipelined_requests.popleft())
+            if self._is_queue_full and len(self.pipelined_requests) < MAX_QUEUED_RESPONSES:
+                self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Read further requests, now that fewer responses are due."""
+        if self._read_control is not None:
+            self._read_control.resume(PauseReason.FULL_QUEUE)
 
     def write_response(
         self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
@@ -278,6 +316,12 @@
         control = self._read_control
         return control is not None and control.is_paused_for(PauseReason.UNREAD_RESPONSE)
 
+    @property
+    def _is_queue_full(self) -> bool:
+        """Whether nothing is read because too many responses are due."""
+        control = self._read_control
+        return control is not None and control.is_paused_for(PauseReason.FULL_QUEUE)
+
     @property
     def _is_usable(self) -> bool:
         """Whether the connection is neither closed nor being closed."""
--- a/limiter/transport/clients/read_control.py
+++ b/limiter/transport/clients/read_control.py
@@ -10,6 +10,7 @@
     """Why a connection is not read."""
 
     UNREAD_RESPONSE = auto()  # The client does not read its response, so its further input would take memory.
+    FULL_QUEUE = auto()  # Too many responses are due on the connection.
     TURN_OF_OTHERS = auto()  # A full buffer was read in this iteration of the event loop.
     TOO_MUCH_DISCARDED = auto()  # The input after an error exceeds what is read and discarded.
 
--- a/limiter/transport/clients/request_parser.py
+++ b/limiter/transport/clients/request_parser.py
@@ -96,8 +96,7 @@
         self.keep_alive = keep_alive
 
 
-# Called with each complete request; returns an error response if the request cannot be accepted.
-RequestCallback = Callable[[ParsedRequest], LocalResponse | None]
+RequestCallback = Callable[[ParsedRequest], None]  # Called with each complete request.
 
 
 class RequestParser:
@@ -203,4 +202,4 @@
             self._error_response = BODY_TOO_LARGE
             return
         request.mark_complete(self._parser.get_method(), keep_alive=self._parser.should_keep_alive())
-        self._error_response = self._on_request(request)
+        self._on_request(request)
--- a/tests/support/limiter_settings.py
+++ b/tests/support/limiter_settings.py
@@ -78,3 +78,9 @@
 def make_configured_endpoint_list(*entries: dict[str, Any]) -> dict[str, Any]:
     """Return an endpoint list, version 1, with these entries, as a configuration contains it."""
     return {"generation": 1, "reset": True, "instances": list(entries)}
+
+
+# With such a long latency objective, the limiter does not end a request before its deadline.
+CLASSES_WITH_LONG_LATENCY_OBJECTIVE = [
+    {**request_class, "aim": 60_000.0} for request_class in make_raw_settings()["classes"]
+]
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -5,10 +5,19 @@
 import asyncio
 from dataclasses import dataclass
 
+import pytest
+
+from limiter.transport.clients.client_connection import MAX_PIPELINED_REQUESTS
 from tests.support.client import build_request
-from tests.support.fake_server import ReceivedRequest, list_request_ids, respond_after, respond_with
+from tests.support.fake_server import (
+    ReceivedRequest,
+    list_request_ids,
+    never_respond,
+    respond_after,
+    respond_with,
+)
 from tests.support.harness import LimiterHarness, limiter_with
-from tests.support.limiter_settings import make_raw_settings
+from tests.support.limiter_settings import CLASSES_WITH_LONG_LATENCY_OBJECTIVE, make_raw_settings
 from tests.support.waiting import wait_until
 
 
@@ -108,3 +117,42 @@
         "r7",
         "r10",
     ]  # Each request was forwarded once, without a retry.
+
+
+def build_numbered_requests(count: int) -> list[bytes]:
+    """Return requests with the ids 0, 1, ..."""
+    return [build_request("order", request_id=str(number)) for number in range(count)]
+
+
+async def test_all_requests_sent_at_once_get_their_response(harness: LimiterHarness) -> None:
+    """The 18th request failed its connection, and the 17 before it got no response either."""
+    client = await harness.connect()
+    request_count = MAX_PIPELINED_REQUESTS + 4
+    client.send(b"".join(build_numbered_requests(request_count)))
+    responses = [await client.read_response() for _ in range(request_count)]
+    statuses = [response.status for response in responses]
+    assert statuses == [200] * (1 + MAX_PIPELINED_REQUESTS) + [503] * 3
+    assert all(float(response.headers["retry-after"]) > 0 for response in responses[-3:])
+    client.send(build_request("order", request_id="next"))
+    assert (await client.read_response()).status == 200
+    forwarded_ids = [str(number) for number in range(1 + MAX_PIPELINED_REQUESTS)]
+    assert list_request_ids(harness.received_requests) == [*forwarded_ids, "next"]
+
+
+@limiter_with(settings=make_raw_settings(classes=CLASSES_WITH_LONG_LATENCY_OBJECTIVE))
+@pytest.mark.parametrize("request_count", [40, 600])
+async def test_many_more_requests_sent_at_once_fail_immediately_and_each_gets_its_response(
+    harness: LimiterHarness, request_count: int
+) -> None:
+    """The client gets an error before a server has responded to its first request, which may have run."""
+    harness.servers[0].responder = never_respond
+    client = await harness.connect()
+    client.send(build_request("submit", deadline_ms=60_000, request_id="first"))
+    await wait_until(lambda: harness.received_requests)
+    client.send(b"".join(build_numbered_requests(request_count)))
+    statuses = [(await client.read_response()).status for _ in range(1 + request_count)]
+    assert statuses == [400] + [503] * request_count
+    harness.servers[0].responder = respond_with(200)
+    client.send(build_request("order", request_id="next"))
+    assert (await client.read_response()).status == 200
+    assert list_request_ids(harness.received_requests) == ["first", "next"]
