Await the response to a late call beside the next calls to a shared discovery

Cause: DiscoveryWatch._poll gave a call up after 1.5 s beyond its wait, or 2.5 s after a failure, and closed its connection. The next call had the same limit, so no response that takes longer was ever read.

Change: the limits stay, since a silent connection has to be replaced in time. A late call to a shared discovery is kept beside the next ones, at most two (LateCalls); its response is applied unless a newer list has arrived.

--- a/limiter/transport/discovery/discovery_connection.py
+++ b/limiter/transport/discovery/discovery_connection.py
@@ -20,6 +20,10 @@
         super().__init__("connection closed before the response was complete")
 
 
+class LateResponseError(TimeoutError):
+    """Discovery has not responded in time; the response is still awaited beside the next calls."""
+
+
 class DiscoveryOverloadedError(ConnectionError):
     """Discovery is overloaded and rejected the call; the last endpoint list that it sent remains valid."""
 
--- a/limiter/transport/discovery/discovery_watch.py
+++ b/limiter/transport/discovery/discovery_watch.py
@@ -15,6 +15,7 @@
 from limiter.transport.discovery.discovery_connection import (
     DiscoveryConnection,
     DiscoveryOverloadedError,
+    LateResponseError,
     UnexpectedStatusError,
     VersionRegressionError,
 )
@@ -25,6 +26,7 @@
     NameNumbering,
     parse_endpoint_list,
 )
+from limiter.transport.discovery.late_calls import DiscoveryCall, LateCalls
 from limiter.transport.discovery.list_confirmation import ListConfirmation
 from limiter.transport.discovery.poll_pacing import CATCH_UP_POLL_MS, FIRST_BACKOFF_SECONDS, PollPacing
 from limiter.transport.http_response import HttpResponse
@@ -107,6 +109,7 @@
         self._task: asyncio.Task[None] | None = None
         self._is_failure_logged = False  # Reset by a success, so that a persistent failure is logged once.
         self._confirmation = ListConfirmation(on_expired)
+        self._late_calls = LateCalls(self._handle_late_response)
         self.first_list_received = asyncio.Event()  # Set once discovery has sent a list.
         self.poll_allowed = asyncio.Event()  # Cleared after a failed call, set by `allow_next_poll`.
 
@@ -178,6 +181,7 @@
         self._cancel_polling()
 
     def _cancel_polling(self) -> None:
+        self._late_calls.close()
         if self._task is not None:
             self._task.cancel()
 
@@ -194,6 +198,9 @@
             connection = await self._connect()
             while await self._poll(connection):
                 self._is_failure_logged = False
+        except LateResponseError as error:
+            connection = None  # It waits for the response to the late call.
+            self._handle_failure(error)
         except Exception as error:  # noqa: BLE001 - any error: otherwise polling stops and the list never changes
             # The error itself is not returned, because its traceback keeps the response alive, which has up
             # to MAX_LIST_BYTES.
@@ -244,15 +251,59 @@
             long_poll_ms = pacing.long_poll_ms if self._is_list_current else CATCH_UP_POLL_MS
             target = f"{LIST_PATH}?since={known_version}&timeout_ms={long_poll_ms}"
         host, port = self._address
-        # The connection to an unreachable host stays open without delivering anything. Without this timeout
-        # the list would never be updated again.
-        async with asyncio.timeout(long_poll_ms / 1000 + grace_seconds):
-            response = await connection.get(target, f"{host}:{port}")
+        response_task = asyncio.get_running_loop().create_task(connection.get(target, f"{host}:{port}"))
+        call = DiscoveryCall(connection, known_version, response_task)
+        response = await self._wait_for_response(call, long_poll_ms / 1000 + grace_seconds)
+        self._apply_response(call, response)
+        return response.keep_alive
+
+    async def _wait_for_response(self, call: DiscoveryCall, timeout_seconds: float) -> HttpResponse:
+        """Return the response to a call.
+
+        The connection to an unreachable host stays open without delivering anything. Without this timeout
+        the list would never be updated again.
+
+        Raises:
+            TimeoutError: The agent on this host has not responded in time.
+            LateResponseError: A shared discovery has not responded in time; it may still do so.
+        """
+        try:
+            await asyncio.wait((call.response,), timeout=timeout_seconds)
+        except asyncio.CancelledError:
+            call.give_up()
+            raise
+        if call.response.done():
+            return call.response.result()
+        if self._pacing.uses_local_agent:
+            call.give_up()
+            raise TimeoutError
+        self._late_calls.add(call)
+        raise LateResponseError
+
+    def _handle_late_response(self, call: DiscoveryCall, response: HttpResponse) -> None:
+        """Apply the response to a call that was late, unless a later call has returned a newer list."""
+        try:
+            received_list = self._parse_response(response)
+        except (ValueError, ConnectionError):
+            return  # The call has failed already, and the next one is under way.
+        is_full = received_list.is_full or call.known_version is None
+        known_version = self._list_version
+        is_newer = known_version is not None and received_list.version >= known_version
+        if is_newer or (is_full and known_version is None):
+            self._apply_list(received_list, is_full=is_full)
+
+    def _apply_response(self, call: DiscoveryCall, response: HttpResponse) -> None:
+        """Apply the list in a response.
+
+        Raises:
+            DiscoveryOverloadedError: Discovery rejected the call.
+            ValueError: The response contains no list, or one that does not belong to the known list.
+        """
         received_list = self._parse_response(response)
+        known_version = self._list_version
         if known_version is not None and received_list.version < known_version and not received_list.is_full:
             raise VersionRegressionError(received_list.version, known_version)
-        self._apply_list(received_list, is_full=received_list.is_full or known_version is None)
-        return response.keep_alive
+        self._apply_list(received_list, is_full=received_list.is_full or call.known_version is None)
 
     def _parse_response(self, response: HttpResponse) -> EndpointList:
         if response.status >= 500:
--- a/tests/transport/test_discovery_watch.py
+++ b/tests/transport/test_discovery_watch.py
@@ -10,7 +10,7 @@
 from limiter.transport.backoff import JITTER_FRACTION
 from limiter.transport.discovery.discovery_watch import DiscoveryWatch, DiscoveryWatchOptions
 from limiter.transport.discovery.endpoint_list import NameNumbering, parse_endpoint_list
-from limiter.transport.discovery.poll_pacing import PollPacing
+from limiter.transport.discovery.poll_pacing import CATCH_UP_RESPONSE_GRACE_SECONDS, PollPacing
 from tests.support.client import HEALTH_CHECK, build_request
 from tests.support.fake_discovery import FakeDiscovery
 from tests.support.harness import (
@@ -254,13 +254,23 @@
     assert pacing.catch_up_grace_seconds + backoff_seconds + pacing.grace_seconds < 6.0
 
 
-async def test_change_is_received_from_a_discovery_that_responds_late() -> None:
+@pytest.mark.parametrize(
+    "catch_up_grace_seconds",
+    [CATCH_UP_RESPONSE_GRACE_SECONDS, SHORT_GRACE_SECONDS],
+    ids=["in time for a call after a failure", "too late for each call"],
+)
+async def test_change_is_received_from_a_discovery_that_responds_late(catch_up_grace_seconds: float) -> None:
     """Each call was given up before its response came, so a draining server got requests for as long."""
     discovery = FakeDiscovery()
     await discovery.listen()
     pacing = PollPacing.for_fleet(4, uses_local_agent=False)
     discovery.response_delay_seconds = 10 * SHORT_GRACE_SECONDS
-    short_pacing = replace(pacing, long_poll_ms=20, grace_seconds=SHORT_GRACE_SECONDS)
+    short_pacing = replace(
+        pacing,
+        long_poll_ms=20,
+        grace_seconds=SHORT_GRACE_SECONDS,
+        catch_up_grace_seconds=catch_up_grace_seconds,
+    )
     versions: list[int] = []
     watch = DiscoveryWatch(
         DiscoveryWatchOptions(("127.0.0.1", discovery.port), NameNumbering([], []), 250.0, short_pacing),
