Move the requests that wait on a client connection to RequestQueue

Change: RequestQueue holds the waiting requests, both limits and the rejection; OVERLOAD_RETRY_AFTER_MS stands with the local responses, which both modules use. No change of behaviour.

--- a/limiter/transport/clients/client_connection.py
+++ b/limiter/transport/clients/client_connection.py
@@ -3,34 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from enum import Enum
 from typing import cast
 
-from limiter.transport.clients.client_response import LocalResponse, encode_response
+from limiter.transport.clients.client_response import (
+    OVERLOAD_RETRY_AFTER_MS,
+    LocalResponse,
+    encode_response,
+)
 from limiter.transport.clients.connection_interfaces import ConnectionObserver, QueuedRequest, RequestHandler
 from limiter.transport.clients.read_control import PauseReason, ReadControl
 from limiter.transport.clients.request_parser import ParsedRequest, RequestParser
+from limiter.transport.clients.request_queue import TOO_MANY_PIPELINED_REQUESTS, RequestQueue
 from limiter.transport.driver.proxied_request import ProxiedRequest
 from limiter.transport.sockets import has_peer_disconnected, has_unread_input
 
-# Maximum number of requests that may wait on a connection behind the current one. Further ones are rejected.
-MAX_PIPELINED_REQUESTS = 16
-# Number of responses, including rejections, that are due behind the current one. From this number on, the
-# current request fails, all waiting ones are rejected, and nothing is read until fewer responses are due.
-MAX_QUEUED_RESPONSES = 32
 # Maximum number of bytes that are read from one connection in one iteration of the event loop. A client that
 # sends much at once, in parts that take long to parse, thereby delays the others and the timers only briefly.
 READ_BUFFER_BYTES = 4096
 # Number of bytes that are read and discarded after the response to invalid input, before reading stops.
 MAX_DISCARDED_BYTES = 262_144
-# Retry-After value on connections over the limit, and once the limiter no longer submits requests.
-OVERLOAD_RETRY_AFTER_MS = 1000.0
 
-# The response to a request that was not forwarded because too many others wait on its connection.
-TOO_MANY_PIPELINED_REQUESTS = LocalResponse(
-    503, b"too many requests on one connection\n", OVERLOAD_RETRY_AFTER_MS
-)
 # The response to a request that ends early because too many others wait behind it. The status is that of a
 # failure and not of a rejection, since a server may have run the request.
 FAILED_FOR_PIPELINED_REQUESTS = LocalResponse(400, b"too many requests on one connection\n")
@@ -91,8 +84,7 @@
         self.transport: asyncio.Transport | None = None
         self._parser: RequestParser | None = RequestParser(self._request_received)
         self.current_request: ProxiedRequest | None = None
-        # Requests that wait behind the current one, in the order of their receipt.
-        self.pipelined_requests: deque[QueuedRequest] = deque()
+        self.pipelined_requests = RequestQueue()
         self._state = ConnectionState.OPEN
         # The connection exceeds the limit on connections, so its requests are rejected immediately.
         self._is_overflow_connection = False
@@ -194,12 +186,13 @@
         self._update_held_bytes()
 
     def _discard_unanswered_requests(self) -> None:
-        unanswered = [self.current_request, *self.pipelined_requests]
+        current = self.current_request
         self.current_request = None
-        self.pipelined_requests = deque()
+        unanswered = self.pipelined_requests.clear()
+        if current is not None:
+            unanswered.insert(0, current)
         for request in unanswered:
-            if isinstance(request, ProxiedRequest):
-                self._handler.client_disconnected(request)
+            self._handler.client_disconnected(request)
 
     # Requests and responses
 
@@ -214,12 +207,12 @@
             self.pipelined_requests.append(queued)
         else:
             self._start_request(queued)
-        if len(self.pipelined_requests) >= MAX_QUEUED_RESPONSES and not self._is_queue_full:
+        if self.pipelined_requests.is_full and not self._is_queue_full:
             self._end_all_requests()
 
     def _prepare(self, request: ParsedRequest) -> QueuedRequest:
         """Return the request to submit when its turn comes, or its response."""
-        if len(self.pipelined_requests) >= MAX_PIPELINED_REQUESTS:
+        if not self.pipelined_requests.accepts_requests:
             return TOO_MANY_PIPELINED_REQUESTS
         if not self._observer.make_room(request.stored_bytes):
             return MEMORY_EXHAUSTED
@@ -230,14 +223,8 @@
 
         The client gets an error at once, even if no server responds to the current request.
         """
-        waiting = self.pipelined_requests
-        self.pipelined_requests = deque(
-            request if isinstance(request, LocalResponse) else TOO_MANY_PIPELINED_REQUESTS
-            for request in waiting
-        )
-        for request in waiting:
-            if isinstance(request, ProxiedRequest):
-                self._handler.client_disconnected(request)
+        for request in self.pipelined_requests.reject_all():
+            self._handler.client_disconnected(request)
         if self._read_control is not None:
             self._read_control.pause(PauseReason.FULL_QUEUE)
         current = self.current_request
@@ -259,8 +246,8 @@
 
     def _start_next_request(self) -> None:
         if self.current_request is None and self.pipelined_requests and not self._has_unread_response:
-            self._start_request(self.pipelined_requests.popleft())
-            if self._is_queue_full and len(self.pipelined_requests) < MAX_QUEUED_RESPONSES:
+            self._start_request(self.pipelined_requests.pop_first())
+            if self._is_queue_full and not self.pipelined_requests.is_full:
                 self._resume_reading()
 
     def _resume_reading(self) -> None:
--- a/limiter/transport/clients/client_response.py
+++ b/limiter/transport/clients/client_response.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+# Retry-After value, in milliseconds, of rejections that are unrelated to the customer's quota.
+OVERLOAD_RETRY_AFTER_MS = 1000.0
+
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
--- a/limiter/transport/clients/connection_registry.py
+++ b/limiter/transport/clients/connection_registry.py
@@ -7,10 +7,9 @@
 from limiter.transport.clients.client_connection import (
     FAILED_FOR_PIPELINED_REQUESTS,
     MEMORY_EXHAUSTED,
-    OVERLOAD_RETRY_AFTER_MS,
     ClientConnection,
 )
-from limiter.transport.clients.client_response import LocalResponse
+from limiter.transport.clients.client_response import OVERLOAD_RETRY_AFTER_MS, LocalResponse
 from limiter.transport.request_memory import RequestMemory
 
 # Maximum time until a request is received completely, counted from the opening of its connection, or from its
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from limiter.transport.clients.client_connection import MAX_PIPELINED_REQUESTS
+from limiter.transport.clients.request_queue import MAX_PIPELINED_REQUESTS
 from tests.support.client import build_request
 from tests.support.fake_server import (
     ReceivedRequest,
