Limit interim responses of which each ends with a read

Before, only a complete final response was exempt.

Change: only a complete final response without a further one behind it is exempt again.

--- a/limiter/transport/http_response.py
+++ b/limiter/transport/http_response.py
@@ -157,7 +157,8 @@
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return False
-        return not self.is_receiving or not self._exceeds_size_limits()
+        is_complete = self._complete_response is not None and not self.is_receiving
+        return is_complete or not self._exceeds_size_limits()
 
     def _exceeds_size_limits(self) -> bool:
         """Return whether an incomplete response exceeds the limits on its head or its chunks and trailers."""
--- a/tests/transport/test_http_response.py
+++ b/tests/transport/test_http_response.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from limiter.transport.http_response import HttpResponse, ResponseProtocol
+from limiter.transport.http_response import MAX_HEAD_BYTES, HttpResponse, ResponseProtocol
 from tests.support.waiting import wait_until
 
 MAX_BODY_BYTES = 1000
@@ -88,6 +88,16 @@
     assert received.keep_alive != has_surplus
 
 
+def test_interim_responses_that_each_end_with_a_read_are_limited() -> None:
+    """The limit applied only to reads that ended within a response, so a server could send them endlessly."""
+    protocol = RecordedResponses()
+    for _ in range(MAX_HEAD_BYTES // len(INTERIM_RESPONSE)):
+        protocol.data_received(INTERIM_RESPONSE)
+    assert protocol.failure_count == 0
+    protocol.data_received(INTERIM_RESPONSE)
+    assert protocol.failure_count == 1
+
+
 @pytest.mark.parametrize("surplus", [b"more", b"\r\n"])
 async def test_response_is_not_reported_while_the_kernel_holds_more_bytes(
     connection: OpenConnection, surplus: bytes
@@ -113,7 +123,7 @@
 
 
 async def test_copy_of_a_response_in_another_read_is_not_a_surplus(connection: OpenConnection) -> None:
-    """Servers may send a good response twice; it is not known which connection state follows."""
+    """Servers may send a good response twice; the connection is not used again."""
     protocol, server_socket = connection
     server_socket.send(RESPONSE)
     protocol.data_received(RESPONSE)
